--- /dev/null
+++ b/gentianhoist/__main__.py
@@ -0,0 +1,6 @@
+"""Runs the command line with ``python -m gentianhoist``."""
+
+from gentianhoist.cli import main
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/gentianhoist/allowance/__init__.py
@@ -0,0 +1,16 @@
+"""The busiest minute: sliding windows, shares under leases, loans between entries."""
+
+from gentianhoist.allowance._ledger import ShareLedger, decode_ledger, encode_ledger
+from gentianhoist.allowance._share import ShareLease
+from gentianhoist.allowance._window import Amount, MinuteWindow
+from gentianhoist.allowance.core import Allowance
+
+__all__ = [
+    "Allowance",
+    "Amount",
+    "MinuteWindow",
+    "ShareLease",
+    "ShareLedger",
+    "decode_ledger",
+    "encode_ledger",
+]
--- /dev/null
+++ b/gentianhoist/allowance/core.py
@@ -0,0 +1,115 @@
+"""One entry's allowance: its share of the preset in force, and loans."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import NamedTuple
+
+from gentianhoist.allowance._ledger import WHOLE_PPM
+from gentianhoist.allowance._window import Amount, MinuteWindow
+from gentianhoist.configuration import Preset
+
+__all__ = ["Allowance"]
+
+_LENT_PART = 0.5
+_CLOCK_RATE_ERROR = 0.01
+
+
+class _Loan(NamedTuple):
+    amount: Amount
+    preset: str
+    until_s: float
+
+
+class Allowance:
+    """Decides whether a request may be admitted in this minute.
+
+    A loan moves a part of the lender's allowance to another entry without the store.
+    The lender charges it to its own minute for as long as the borrower may spend it,
+    and a minute longer, so a lost message only wastes it.
+
+    Args:
+        loan_s: Seconds within which a borrowed amount is spent.
+    """
+
+    def __init__(self, loan_s: float) -> None:
+        self._loan_s = loan_s
+        self._window = MinuteWindow()
+        self._loans: deque[_Loan] = deque()
+
+    def used(self, now_s: float) -> Amount:
+        """What the last minute holds of this entry's own allowance."""
+        return self._window.used(now_s)
+
+    def limit(self, preset: Preset, share_ppm: int) -> Amount:
+        """This entry's part of a preset."""
+        return Amount(
+            preset.requests_per_minute * share_ppm // WHOLE_PPM,
+            preset.tokens_per_minute * share_ppm // WHOLE_PPM,
+        )
+
+    def spend(
+        self, amount: Amount, preset: Preset, share_ppm: int, now_s: float
+    ) -> bool:
+        """Spend an amount from the share, or else from loans.
+
+        Args:
+            amount: What a request needs.
+            preset: The preset that holds now.
+            share_ppm: This entry's share, in parts per million.
+            now_s: The time on this entry's clock.
+
+        Returns:
+            Whether the request may be admitted.
+        """
+        limit = self.limit(preset, share_ppm)
+        if self._window.used(now_s).plus(amount).fits(limit):
+            self._window.charge(amount, now_s)
+            return True
+        return self._spend_loan(amount, preset.name, now_s)
+
+    def borrowed(self, amount: Amount, preset: str, asked_s: float) -> None:
+        """Take a loan.
+
+        Args:
+            amount: What the lender took from its own allowance.
+            preset: Name of the preset that it took it under; the loan is void under
+                any other, since a switch may have lowered what a minute holds.
+            asked_s: When it was asked, on this entry's clock.
+        """
+        if amount.requests > 0:
+            self._loans.append(_Loan(amount, preset, asked_s + self._loan_s))
+
+    def lend(
+        self, wanted: Amount, preset: Preset, share_ppm: int, now_s: float
+    ) -> Amount:
+        """Lend to another entry.
+
+        Args:
+            wanted: What it asks for.
+            preset: The preset that holds now.
+            share_ppm: This entry's share, in parts per million.
+            now_s: The time on this entry's clock.
+
+        Returns:
+            What it gets; it is charged to this entry.
+        """
+        spare = self.limit(preset, share_ppm).minus(self._window.used(now_s))
+        lent = Amount(
+            min(wanted.requests, int(spare.requests * _LENT_PART)),
+            min(wanted.tokens, int(spare.tokens * _LENT_PART)),
+        )
+        if lent.requests < 1:
+            return Amount(0, 0)
+        delay_s = self._loan_s * (1.0 + _CLOCK_RATE_ERROR)
+        self._window.charge(lent, now_s, delay_s)
+        return lent
+
+    def _spend_loan(self, amount: Amount, preset: str, now_s: float) -> bool:
+        while self._loans and self._loans[0].until_s <= now_s:
+            self._loans.popleft()
+        for index, loan in enumerate(self._loans):
+            if loan.preset == preset and amount.fits(loan.amount):
+                self._loans[index] = loan._replace(amount=loan.amount.minus(amount))
+                return True
+        return False
--- /dev/null
+++ b/gentianhoist/backends/__init__.py
@@ -0,0 +1,27 @@
+"""Clients of the backend servers: model engines and plain services."""
+
+from gentianhoist.backends._engine import EngineClient
+from gentianhoist.backends._service import ServiceClient
+from gentianhoist.backends.core import (
+    EngineBroken,
+    EngineEnded,
+    EngineRefused,
+    EngineReport,
+    EngineSilent,
+    EngineStream,
+    EngineTokens,
+    StreamOrder,
+)
+
+__all__ = [
+    "EngineBroken",
+    "EngineClient",
+    "EngineEnded",
+    "EngineRefused",
+    "EngineReport",
+    "EngineSilent",
+    "EngineStream",
+    "EngineTokens",
+    "ServiceClient",
+    "StreamOrder",
+]
--- /dev/null
+++ b/gentianhoist/backends/core.py
@@ -0,0 +1,105 @@
+"""What a sidecar says to its engine, and what it hears from it."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import NamedTuple
+
+import msgspec
+
+__all__ = [
+    "EngineBroken",
+    "EngineEnded",
+    "EngineRefused",
+    "EngineReport",
+    "EngineSilent",
+    "EngineStream",
+    "EngineTokens",
+    "StreamOrder",
+]
+
+
+class StreamOrder(msgspec.Struct, frozen=True):
+    """An order to start a stream, as the engine's protocol has it.
+
+    Attributes:
+        stream_id: Name of the stream.
+        prompt: The prompt.
+        prompt_tokens: Its tokens.
+        max_tokens: Offset after the last token wanted.
+        start: Offset of the first token wanted.
+        priority: Lower goes first.
+        labels: Names of the prompt's prefixes with their lengths in tokens.
+        generated: The answer before ``start``, which the stream goes on from.
+        sampling: Sampling parameters, as JSON.
+    """
+
+    stream_id: str
+    prompt: str
+    prompt_tokens: int
+    max_tokens: int
+    start: int = 0
+    priority: int = 0
+    labels: tuple[tuple[int, int], ...] = ()
+    generated: str = ""
+    sampling: str = "{}"
+
+
+@dataclass(frozen=True)
+class EngineTokens:
+    """Consecutive tokens."""
+
+    offset: int
+    texts: list[str]
+
+
+@dataclass(frozen=True)
+class EngineEnded:
+    """The stream is over.
+
+    Attributes:
+        reason: ``length`` if the answer is whole, else why it isn't.
+        count: Offset after the last token.
+    """
+
+    reason: str
+    count: int
+
+
+EngineStream = AsyncIterator[EngineTokens | EngineEnded]
+
+
+class EngineReport(NamedTuple):
+    """What an engine says of itself, with a lag.
+
+    Attributes:
+        boot_id: Its present boot.
+        streams: Number of its streams.
+        kv_free_tokens: Free KV memory.
+    """
+
+    boot_id: str
+    streams: int
+    kv_free_tokens: int
+
+
+class EngineRefused(Exception):
+    """The engine did not take the work.
+
+    Args:
+        status: HTTP status.
+        message: What it said.
+    """
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+
+
+class EngineBroken(Exception):
+    """The connection broke; the stream may go on in the engine."""
+
+
+class EngineSilent(EngineBroken):
+    """The connection says nothing; the stream may go on in the engine."""
--- /dev/null
+++ b/gentianhoist/calls/_group_commit.py
@@ -0,0 +1,140 @@
+"""Group commit: one transaction of the store for many rows."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import NamedTuple
+
+from gentianhoist.store import (
+    Check,
+    ConditionFailed,
+    Put,
+    Row,
+    StoreInDoubt,
+    StoreUnavailable,
+    TableClient,
+    Transaction,
+    new_transaction_id,
+    transact_settled,
+)
+
+_ROWS_PER_TRANSACTION = 128
+
+
+class _Write(NamedTuple):
+    check: Check
+    value: bytes
+    done: asyncio.Future[None]
+
+
+class GroupCommit:
+    """Writes rows under conditions, many at a time and one transaction after another.
+
+    Args:
+        table: The table service.
+    """
+
+    def __init__(self, table: TableClient) -> None:
+        self._table = table
+        self._pending: list[_Write] = []
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+        self._transactions = 0
+        self._rows = 0
+
+    @property
+    def transactions(self) -> int:
+        """Transactions sent so far."""
+        return self._transactions
+
+    @property
+    def rows(self) -> int:
+        """Rows written so far."""
+        return self._rows
+
+    async def start(self) -> None:
+        """Start the writing task."""
+        self._task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Write what is pending, then stop."""
+        while self._pending:
+            await self._commit_batch()
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def write(self, key: str, version: int, value: bytes) -> None:
+        """Write one row if it has a version, 0 for absent.
+
+        Raises:
+            ConditionFailed: With the row as it is.
+            StoreUnavailable: If it was not written.
+            StoreInDoubt: If that is not known.
+        """
+        done = asyncio.get_running_loop().create_future()
+        self._pending.append(_Write(Check(key, version), value, done))
+        self._wake.set()
+        await done
+
+    async def _run(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake.clear()
+            while self._pending:
+                await self._commit_batch()
+
+    async def _commit_batch(self) -> None:
+        batch = self._take_batch()
+        while batch:
+            try:
+                await self._transact(batch)
+            except ConditionFailed as error:
+                batch = self._fail_some(batch, error.rows)
+            except (StoreUnavailable, StoreInDoubt) as error:
+                _fail_all(batch, error)
+                return
+            else:
+                self._rows += len(batch)
+                for write in batch:
+                    if not write.done.done():
+                        write.done.set_result(None)
+                return
+
+    def _take_batch(self) -> list[_Write]:
+        # One row can stand in a transaction only once.
+        batch: dict[str, _Write] = {}
+        later: list[_Write] = []
+        for write in self._pending:
+            full = len(batch) >= _ROWS_PER_TRANSACTION
+            if full or write.check.key in batch:
+                later.append(write)
+            else:
+                batch[write.check.key] = write
+        self._pending = later
+        return list(batch.values())
+
+    async def _transact(self, batch: list[_Write]) -> None:
+        self._transactions += 1
+        await transact_settled(
+            self._table,
+            Transaction(
+                new_transaction_id(),
+                tuple(write.check for write in batch),
+                tuple(Put(write.check.key, write.value) for write in batch),
+            ),
+        )
+
+    def _fail_some(self, batch: list[_Write], rows: tuple[Row, ...]) -> list[_Write]:
+        failed = {row.key: row for row in rows}
+        for write in batch:
+            row = failed.get(write.check.key)
+            if row is not None and not write.done.done():
+                write.done.set_exception(ConditionFailed((row,)))
+        return [write for write in batch if write.check.key not in failed]
+
+
+def _fail_all(batch: list[_Write], error: Exception) -> None:
+    for write in batch:
+        if not write.done.done():
+            write.done.set_exception(error)
--- /dev/null
+++ b/gentianhoist/capacity/__init__.py
@@ -0,0 +1,27 @@
+"""What one backend server bears: slow start, queue, KV reservations, speeds."""
+
+from gentianhoist.capacity._slow_start import SlowStart
+from gentianhoist.capacity._speed import SpeedEstimate
+from gentianhoist.capacity.core import (
+    EngineGate,
+    GatePolicy,
+    Refuse,
+    Start,
+    Wait,
+    Work,
+    WorkClass,
+    classify,
+)
+
+__all__ = [
+    "EngineGate",
+    "GatePolicy",
+    "Refuse",
+    "SlowStart",
+    "SpeedEstimate",
+    "Start",
+    "Wait",
+    "Work",
+    "WorkClass",
+    "classify",
+]
--- /dev/null
+++ b/gentianhoist/capacity/_speed.py
@@ -0,0 +1,49 @@
+"""Speeds of one engine, learnt from what it did."""
+
+from __future__ import annotations
+
+_WEIGHT = 0.2
+_MIN_PREFILL_TOKENS = 256
+
+
+class SpeedEstimate:
+    """Moving averages of an engine's speeds.
+
+    Args:
+        prefill_tokens_per_s: First estimate of the prefill speed.
+        decode_step_s: First estimate of the seconds between two tokens.
+    """
+
+    def __init__(self, prefill_tokens_per_s: float, decode_step_s: float) -> None:
+        self._first_decode_step_s = decode_step_s
+        self._prefill_tokens_per_s = prefill_tokens_per_s
+        self._decode_step_s = decode_step_s
+
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """Prefill speed of a prompt that has the engine for itself."""
+        return self._prefill_tokens_per_s
+
+    @property
+    def decode_step_s(self) -> float:
+        """Seconds between two tokens of a stream."""
+        return self._decode_step_s
+
+    @property
+    def slowness_ratio(self) -> float:
+        """Present time between tokens against the first estimate."""
+        return self._decode_step_s / self._first_decode_step_s
+
+    def prefilled(self, tokens: int, took_s: float) -> None:
+        """Take note of a prompt that was prefilled alone."""
+        if tokens < _MIN_PREFILL_TOKENS or took_s <= 0:
+            return
+        observed = tokens / took_s
+        self._prefill_tokens_per_s += _WEIGHT * (observed - self._prefill_tokens_per_s)
+
+    def decoded(self, tokens: int, took_s: float) -> None:
+        """Take note of tokens generated one after the other."""
+        if tokens <= 0 or took_s <= 0:
+            return
+        observed_s = took_s / tokens
+        self._decode_step_s += _WEIGHT * (observed_s - self._decode_step_s)
--- /dev/null
+++ b/gentianhoist/cli/__init__.py
@@ -0,0 +1,5 @@
+"""The command line."""
+
+from gentianhoist.cli.core import Gentianhoist, main
+
+__all__ = ["Gentianhoist", "main"]
--- /dev/null
+++ b/gentianhoist/configuration/__init__.py
@@ -0,0 +1,52 @@
+"""The operators' configuration: a versioned log, its spread and its confirmation."""
+
+from gentianhoist.configuration._changes import (
+    Change,
+    ChangeRecord,
+    DeletePreset,
+    PutPreset,
+    SetInstance,
+    SetWeight,
+    SetZone,
+    SwitchPreset,
+    apply_record,
+    decode_record,
+    encode_record,
+)
+from gentianhoist.configuration._confirmation import Confirmation, PeerEvidence
+from gentianhoist.configuration._identity import Identity
+from gentianhoist.configuration._log import ConfigurationLog
+from gentianhoist.configuration._replica import ConfigurationReplica
+from gentianhoist.configuration.core import (
+    Configuration,
+    Preset,
+    PresetSwitch,
+    decode_configuration,
+    encode_configuration,
+    first_configuration,
+)
+
+__all__ = [
+    "Change",
+    "ChangeRecord",
+    "Configuration",
+    "ConfigurationLog",
+    "ConfigurationReplica",
+    "Confirmation",
+    "DeletePreset",
+    "Identity",
+    "PeerEvidence",
+    "Preset",
+    "PresetSwitch",
+    "PutPreset",
+    "SetInstance",
+    "SetWeight",
+    "SetZone",
+    "SwitchPreset",
+    "apply_record",
+    "decode_configuration",
+    "decode_record",
+    "encode_configuration",
+    "encode_record",
+    "first_configuration",
+]
--- /dev/null
+++ b/gentianhoist/demo/_fleet.py
@@ -0,0 +1,282 @@
+"""A small fleet in one process: stand-ins, sidecars and entries on loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import socket
+from contextlib import ExitStack
+from typing import Any, NamedTuple
+
+from gentianhoist.capacity import GatePolicy
+from gentianhoist.entry import Entry
+from gentianhoist.routing import RoutingPolicy
+from gentianhoist.settings import (
+    DeploymentSettings,
+    EntrySettings,
+    SidecarSettings,
+)
+from gentianhoist.sidecar import Sidecar
+from gentianhoist.standins import EngineProfile, EngineStandin
+from gentianhoist.standins.platform import PlatformStandin
+from gentianhoist.standins.service import ServiceStandin
+
+_HOST = "127.0.0.1"
+_START_S = 10.0
+_POLL_S = 0.02
+
+
+class FleetPlan(NamedTuple):
+    """What a fleet consists of.
+
+    Attributes:
+        zones: Number of availability zones.
+        entries: Number of entries, spread over the zones.
+        engines: Number of engines, spread over the zones.
+        services: Number of plain services, spread over the zones.
+        profile: Speeds and sizes of the engines.
+        warm: Whether engines start warm.
+        cold_streams: First limit of the sidecars.
+        max_streams: Last limit of the sidecars.
+        requests_per_minute: Allowance of the ordinary preset.
+        tokens_per_minute: Allowance of the ordinary preset.
+        timing: Items of the timing settings that differ from the usual.
+        limits: Items of the limit settings that differ from the usual.
+        policy: How entries choose backend servers.
+        gate_policy: Bounds of the gates.
+    """
+
+    zones: int = 2
+    entries: int = 2
+    engines: int = 4
+    services: int = 2
+    profile: EngineProfile = EngineProfile()
+    warm: bool = True
+    cold_streams: int = 16
+    max_streams: int = 64
+    requests_per_minute: int = 60_000
+    tokens_per_minute: int = 600_000_000
+    timing: dict[str, float] = {}
+    limits: dict[str, float] = {}
+    policy: RoutingPolicy | None = None
+    gate_policy: GatePolicy | None = None
+
+
+def free_ports(count: int) -> list[int]:
+    """TCP ports that are free on loopback at this moment."""
+    with ExitStack() as stack:
+        sockets = [
+            stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            for _ in range(count)
+        ]
+        for item in sockets:
+            item.bind((_HOST, 0))
+        return [item.getsockname()[1] for item in sockets]
+
+
+def _hash(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+class EmbeddedFleet:
+    """Stand-ins, sidecars and entries, each with sockets of its own.
+
+    Args:
+        plan: What the fleet consists of.
+    """
+
+    def __init__(self, plan: FleetPlan | None = None) -> None:
+        self.plan = plan or FleetPlan()
+        self.platform = PlatformStandin()
+        self.engines = [
+            EngineStandin(profile=self.plan.profile, warm=self.plan.warm)
+            for _ in range(self.plan.engines)
+        ]
+        self.services = [ServiceStandin() for _ in range(self.plan.services)]
+        self.entries: list[Entry] = []
+        self.sidecars: list[Sidecar] = []
+        self._ports: dict[str, int] = {}
+
+    @property
+    def zones(self) -> list[str]:
+        """Names of the availability zones."""
+        return [f"zone-{letter}" for letter in "abcdefghij"[: self.plan.zones]]
+
+    @property
+    def organisation_key(self) -> str:
+        """API key of the large organisation."""
+        return "key-club"
+
+    @property
+    def operator_key(self) -> str:
+        """API key of the operator."""
+        return "key-operator"
+
+    def entry_url(self, index: int = 0) -> str:
+        """Base URL of one entry."""
+        return f"http://{_HOST}:{self._ports[f'http-{index}']}"
+
+    def zone_of(self, index: int) -> str:
+        """Availability zone of the instance with an index."""
+        return self.zones[index % len(self.zones)]
+
+    async def start(self) -> None:
+        """Start everything, and wait until requests can be served."""
+        await self._start_standins()
+        self._choose_ports()
+        deployment = self.deployment()
+        for name, url, group, zone in self._backends():
+            self.sidecars.append(self._sidecar(deployment, name, url, group, zone))
+        for index in range(self.plan.entries):
+            self.entries.append(self.make_entry(index, deployment))
+        for sidecar in self.sidecars:
+            await sidecar.start()
+        for entry in self.entries:
+            await entry.start()
+        await self._wait_until_ready()
+
+    async def close(self) -> None:
+        """Stop everything."""
+        for process in (*self.entries, *self.sidecars):
+            await process.close()
+        for standin in (*self.engines, *self.services, self.platform):
+            await standin.close()
+
+    def deployment(self) -> DeploymentSettings:
+        """Settings of the deployment."""
+        return DeploymentSettings.model_validate(self._deployment_content())
+
+    def make_entry(self, index: int, deployment: DeploymentSettings) -> Entry:
+        """An entry that isn't started yet."""
+        settings = EntrySettings.model_validate({
+            "instance": f"entry-{index}",
+            "availability_zone": self.zone_of(index),
+            "http": {"host": _HOST, "port": self._ports[f"http-{index}"]},
+            "grpc": {"host": _HOST, "port": self._ports[f"entry-{index}"]},
+        })
+        return Entry(settings, deployment, policy=self.plan.policy)
+
+    def make_sidecar(self, index: int) -> Sidecar:
+        """A sidecar that isn't started yet, by its place among the sidecars."""
+        name, url, group, zone = self._backends()[index]
+        return self._sidecar(self.deployment(), name, url, group, zone)
+
+    async def _start_standins(self) -> None:
+        for standin in (self.platform, *self.engines, *self.services):
+            await standin.start()
+
+    def _choose_ports(self) -> None:
+        names = [f"http-{index}" for index in range(self.plan.entries)]
+        names += [f"entry-{index}" for index in range(self.plan.entries)]
+        names += [name for name, *_ in self._backends()]
+        self._ports = dict(zip(names, free_ports(len(names)), strict=True))
+
+    def _backends(self) -> list[tuple[str, str, str, str]]:
+        found = [
+            (f"engine-{index}", engine.url, "engines", self.zone_of(index))
+            for index, engine in enumerate(self.engines)
+        ]
+        found += [
+            (f"service-{index}", service.url, "valves", self.zone_of(index))
+            for index, service in enumerate(self.services)
+        ]
+        return found
+
+    def _sidecar(
+        self, deployment: DeploymentSettings, name: str, url: str, group: str, zone: str
+    ) -> Sidecar:
+        settings = SidecarSettings.model_validate({
+            "instance": name,
+            "availability_zone": zone,
+            "grpc": {"host": _HOST, "port": self._ports[name]},
+            "group": group,
+            "backend_server_url": url,
+        })
+        policy = self.plan.gate_policy if group == "engines" else None
+        return Sidecar(settings, deployment, gate_policy=policy)
+
+    async def _wait_until_ready(self) -> None:
+        async with asyncio.timeout(_START_S):
+            while not all(self._is_ready(entry) for entry in self.entries):
+                await asyncio.sleep(_POLL_S)
+
+    def _is_ready(self, entry: Entry) -> bool:
+        usable = entry.directory.usable
+        return (
+            entry.configuration.current is not None
+            and entry.keeper.confirmed
+            and entry.allowance.share_ppm > 0
+            and len(usable("engines")) == len(self.engines)
+            and len(usable("valves")) == len(self.services)
+        )
+
+    def _deployment_content(self) -> dict[str, Any]:
+        plan = self.plan
+        return {
+            "name": "demo",
+            "availability_zones": self.zones,
+            "platform": {"url": self.platform.url},
+            "models": [{"name": "planner", "context_tokens": 1_100_000}],
+            "groups": [
+                {
+                    "name": "engines",
+                    "kind": "engine",
+                    "models": ["planner"],
+                    "kv_capacity_tokens": plan.profile.kv_capacity_tokens,
+                    "cold_streams": plan.cold_streams,
+                    "max_streams": plan.max_streams,
+                },
+                {
+                    "name": "valves",
+                    "kind": "service",
+                    "service": "valve-control",
+                    "operations": [
+                        {"name": "flood"},
+                        {"name": "status", "idempotent": True},
+                    ],
+                    "cold_streams": plan.cold_streams,
+                },
+            ],
+            "organisations": [
+                {"name": "club", "api_key_sha256": _hash("key-club"), "weight": 4},
+                {"name": "crew", "api_key_sha256": _hash("key-crew")},
+            ],
+            "operators": [
+                {"name": "operator", "api_key_sha256": _hash(self.operator_key)}
+            ],
+            "presets": [
+                {
+                    "name": "ordinary",
+                    "requests_per_minute": plan.requests_per_minute,
+                    "tokens_per_minute": plan.tokens_per_minute,
+                },
+                {
+                    "name": "maintenance",
+                    "requests_per_minute": max(1, plan.requests_per_minute // 4),
+                    "tokens_per_minute": max(1, plan.tokens_per_minute // 4),
+                },
+            ],
+            "preset_in_force": "ordinary",
+            "instances": [
+                *(
+                    self._instance(f"entry-{index}", "entry", self.zone_of(index), "")
+                    for index in range(plan.entries)
+                ),
+                *(
+                    self._instance(name, "sidecar", zone, group)
+                    for name, _, group, zone in self._backends()
+                ),
+            ],
+            "timing": plan.timing,
+            "limits": plan.limits,
+        }
+
+    def _instance(self, name: str, role: str, zone: str, group: str) -> dict[str, Any]:
+        return {
+            "name": name,
+            "role": role,
+            "availability_zone": zone,
+            "host": _HOST,
+            "port": self._ports[name],
+            "group": group,
+        }
--- /dev/null
+++ b/gentianhoist/entry/_completions.py
@@ -0,0 +1,275 @@
+"""Runs a caller's generation: admission, routing, attempts, the whole answer."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+from gentianhoist.capacity import classify
+from gentianhoist.clocks import Clock
+from gentianhoist.configuration import ConfigurationReplica, Identity
+from gentianhoist.entry._allowance import AllowanceKeeper
+from gentianhoist.entry._directory import Directory
+from gentianhoist.entry._links import SidecarLink
+from gentianhoist.entry._stream_reader import (
+    ConnectionLost,
+    ConnectionSilent,
+    read_stream,
+)
+from gentianhoist.events import EventKind, EventRing
+from gentianhoist.exceptions import ErrorKind, HoistError, NotRun
+from gentianhoist.routing import (
+    Demand,
+    ExpectedFirstToken,
+    LongLane,
+    PrefixMark,
+    RetryBudget,
+    RoutingPolicy,
+    rank_backends,
+)
+from gentianhoist.settings import DeploymentSettings
+from gentianhoist.streams import StreamAssembler
+from gentianhoist.telemetry import Metrics
+from gentianhoist.wire import RunRequest
+
+_RESUMES = 3
+_RESUME_PAUSE_S = 0.05
+_FINAL_KINDS = (ErrorKind.DEADLINE_EXCEEDED, ErrorKind.PROMPT_TOO_LONG)
+
+
+class CompletionJob(NamedTuple):
+    """One generation that a caller wants.
+
+    Attributes:
+        request_id: The request.
+        model: Name of the model.
+        organisation: Who asks.
+        prompt: The prompt.
+        prompt_tokens: Its tokens.
+        marks: Its prefixes.
+        max_tokens: Tokens of the answer at the most.
+        deadline_s: When it must be done, on the entry's clock.
+        priority: 0 for usual work, 1 for work that can wait.
+        sampling: Sampling parameters, as JSON.
+    """
+
+    request_id: str
+    model: str
+    organisation: str
+    prompt: str
+    prompt_tokens: int
+    marks: tuple[PrefixMark, ...]
+    max_tokens: int
+    deadline_s: float
+    priority: int = 0
+    sampling: str = "{}"
+
+
+class CompletionDispatcher:
+    """Runs generations for callers.
+
+    Args:
+        identity: Who this process is.
+        deployment: The deployment's settings.
+        configuration: This process's copy of the configuration.
+        directory: Knows the backend servers.
+        allowance: Decides whether this minute has room.
+        clock: This machine's clocks.
+        events: Where decisions are recorded.
+        metrics: Where counts go.
+        policy: How to choose backend servers.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        deployment: DeploymentSettings,
+        configuration: ConfigurationReplica,
+        directory: Directory,
+        allowance: AllowanceKeeper,
+        clock: Clock,
+        events: EventRing,
+        metrics: Metrics,
+        policy: RoutingPolicy | None = None,
+    ) -> None:
+        self._identity = identity
+        self._deployment = deployment
+        self._configuration = configuration
+        self._directory = directory
+        self._allowance = allowance
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        self._policy = policy or ExpectedFirstToken()
+        self._rng = random.Random(identity.incarnation)
+        self._retries = RetryBudget(deployment.limits.retry_ratio)
+        self._lanes: dict[str, LongLane] = {}
+
+    async def run(self, job: CompletionJob) -> AsyncIterator[tuple[str, ...]]:
+        """Run one generation.
+
+        Args:
+            job: What the caller wants.
+
+        Yields:
+            Consecutive tokens, until the answer is whole.
+
+        Raises:
+            HoistError: If it is refused or fails.
+        """
+        await self._allowance.spend(job.prompt_tokens + job.max_tokens)
+        self._retries.earn()
+        assembler = StreamAssembler(job.request_id)
+        failures: list[HoistError] = []
+        tried: set[str] = set()
+        while (link := self._choose(job, tried, failures)) is not None:
+            tried.add(link.member.name)
+            try:
+                async for texts in self._attempt(link, assembler, job):
+                    yield texts
+            except HoistError as error:
+                failures.append(error)
+                if not self._may_go_on(job, failures):
+                    break
+            else:
+                self._metrics.count("frames_dropped", assembler.dropped)
+                return
+        raise self._failure(failures)
+
+    def _choose(
+        self, job: CompletionJob, tried: set[str], failures: list[HoistError]
+    ) -> SidecarLink | None:
+        links = {
+            link.member.name: link
+            for group in self._deployment.groups
+            if job.model in group.models
+            for link in self._directory.usable(group.name)
+        }
+        now_s = self._clock.elapsed_s()
+        limits = self._deployment.limits
+        work_class = classify(
+            job.prompt_tokens, limits.short_tokens, limits.long_tokens
+        )
+        demand = Demand(job.prompt_tokens, job.max_tokens, work_class, job.marks)
+        views = [link.view for link in links.values()]
+        lane = self._lanes.setdefault(job.model, LongLane(job.model))
+        members = lane.members(views, now_s)
+        untried = [view for view in views if view.name not in tried]
+        ranked = rank_backends(self._policy, untried, demand, members, now_s, self._rng)
+        if not ranked:
+            return None
+        ranked[0].sent(demand)
+        self._events.record(
+            EventKind.REQUEST_RETRIED if failures else EventKind.REQUEST_ROUTED,
+            f"{work_class.name.lower()}, to {ranked[0].name}"
+            f" of {len(untried)} usable{_after(failures)}",
+            job.request_id,
+        )
+        return links[ranked[0].name]
+
+    def _may_go_on(self, job: CompletionJob, failures: list[HoistError]) -> bool:
+        last = failures[-1]
+        if last.kind in _FINAL_KINDS or len(failures) >= (
+            self._deployment.limits.attempts
+        ):
+            return False
+        if self._clock.elapsed_s() >= job.deadline_s:
+            return False
+        self._metrics.count("retries")
+        # A refusal "not run" did no work, so it isn't paid from the budget.
+        return last.not_run is NotRun.TRUE or self._retries.spend()
+
+    def _failure(self, failures: list[HoistError]) -> HoistError:
+        if not failures:
+            return HoistError(
+                ErrorKind.NO_BACKEND_SERVER,
+                "no backend server takes new work",
+                retry_after_s=1.0,
+            )
+        in_doubt = [error for error in failures if error.not_run is NotRun.UNKNOWN]
+        chosen = in_doubt[-1] if in_doubt else min(failures, key=_usefulness)
+        error = HoistError(
+            chosen.kind,
+            chosen.message,
+            retry_after_s=chosen.retry_after_s,
+            not_run=chosen.not_run,
+        )
+        error.__cause__ = ExceptionGroup("attempts", failures)
+        return error
+
+    async def _attempt(
+        self, link: SidecarLink, assembler: StreamAssembler, job: CompletionJob
+    ) -> AsyncIterator[tuple[str, ...]]:
+        """One attempt on one backend server, resumed where its connection fails."""
+        assembler.begin_attempt()
+        link.view.outstanding += 1
+        try:
+            for resumes in range(_RESUMES + 1):
+                request = self._request(assembler, job, resumes > 0)
+                stub = link.stub
+                try:
+                    async for texts in read_stream(
+                        stub, request, assembler, self._deployment.timing.silence_s
+                    ):
+                        yield texts
+                except ConnectionLost as error:
+                    if isinstance(error, ConnectionSilent) and stub is link.stub:
+                        link.replace("a stream is silent")
+                    self._note_resume(link, assembler, job, error)
+                    await asyncio.sleep(_RESUME_PAUSE_S * resumes)
+                else:
+                    return
+        finally:
+            link.view.outstanding -= 1
+        raise HoistError(
+            ErrorKind.BACKEND_FAILED, f"{link.member.name} is not reachable"
+        )
+
+    def _note_resume(
+        self,
+        link: SidecarLink,
+        assembler: StreamAssembler,
+        job: CompletionJob,
+        error: ConnectionLost,
+    ) -> None:
+        self._metrics.count("resumes")
+        self._events.record(
+            EventKind.STREAM_RESUMED,
+            f"at {link.member.name} from {assembler.next_offset}: {error}",
+            job.request_id,
+        )
+
+    def _request(
+        self, assembler: StreamAssembler, job: CompletionJob, resume: bool
+    ) -> RunRequest:
+        configuration = self._configuration.current
+        weights = configuration.weights if configuration else {}
+        return RunRequest(
+            stamp=self._identity.stamp(),
+            request_id=job.request_id,
+            attempt=assembler.attempt,
+            offset=assembler.next_offset,
+            resume=resume,
+            model=job.model,
+            organisation=job.organisation,
+            weight=weights.get(job.organisation, 1.0),
+            prompt="" if resume else job.prompt,
+            prompt_tokens=job.prompt_tokens,
+            prefix_marks=tuple((mark.name, mark.tokens) for mark in job.marks),
+            generated="" if resume else assembler.text,
+            max_tokens=job.max_tokens,
+            priority=job.priority,
+            sampling=job.sampling,
+            deadline_left_s=job.deadline_s - self._clock.elapsed_s(),
+        )
+
+
+def _usefulness(error: HoistError) -> tuple[bool, float]:
+    """The refusal that tells a caller most: one that says when to come back."""
+    return (error.kind is not ErrorKind.OVERLOADED, error.retry_after_s)
+
+
+def _after(failures: list[HoistError]) -> str:
+    return f", after {failures[-1].kind}: {failures[-1].message}" if failures else ""
--- /dev/null
+++ b/gentianhoist/entry/_http.py
@@ -0,0 +1,465 @@
+"""The entry's HTTP interface for callers, and the answers to errors."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import math
+import uuid
+from collections.abc import AsyncIterator, Callable
+from contextlib import aclosing
+
+from sanic import Request, Sanic
+from sanic.exceptions import NotFound, PayloadTooLarge, SanicException
+from sanic.response import HTTPResponse, raw
+
+from gentianhoist.calls import check_key
+from gentianhoist.clocks import Clock
+from gentianhoist.configuration import Identity
+from gentianhoist.entry._calls import CallDispatcher
+from gentianhoist.entry._completions import CompletionDispatcher, CompletionJob
+from gentianhoist.entry._keys import identify
+from gentianhoist.entry._openai import (
+    AnswerShape,
+    Generation,
+    error_body,
+    parse_generation,
+)
+from gentianhoist.entry._operators import OperatorsApi
+from gentianhoist.events import EventKind, EventRing
+from gentianhoist.exceptions import ErrorKind, HoistError
+from gentianhoist.routing import count_tokens, prefix_marks
+from gentianhoist.settings import DeploymentSettings, EntrySettings, ModelSettings
+from gentianhoist.telemetry import Metrics, request_log
+from gentianhoist.wire import CallRequest, Stamp
+
+_LOG = logging.getLogger(__name__)
+
+_REQUEST_TIMEOUT_S = 30
+_MAX_HEADER_BYTES = 16 * 1024
+_MAX_ID_CHARACTERS = 64
+_JSON = "application/json"
+_EVENT_STREAM = "text/event-stream"
+
+
+class HttpApi:
+    """Callers' requests, by Sanic.
+
+    Args:
+        settings: This entry's settings.
+        deployment: The deployment's.
+        identity: Who this process is.
+        completions: Runs generations.
+        calls: Runs calls of plain services.
+        operators: Operators' routes.
+        ready: Whether this entry has what it needs to serve.
+        clock: This machine's clocks.
+        events: Where requests are recorded.
+        metrics: Where counts go.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        deployment: DeploymentSettings,
+        identity: Identity,
+        completions: CompletionDispatcher,
+        calls: CallDispatcher,
+        operators: OperatorsApi,
+        ready: Callable[[], bool],
+        clock: Clock,
+        events: EventRing,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._deployment = deployment
+        self._identity = identity
+        self._completions = completions
+        self._calls = calls
+        self._ready = ready
+        self._clock = clock
+        self._events = events
+        self._metrics = metrics
+        self._in_progress = 0
+        self.leaving = False
+        self._app = self._make_app(operators)
+        self._server = None
+
+    @property
+    def in_progress(self) -> int:
+        """Requests that are not answered yet."""
+        return self._in_progress
+
+    async def start(self) -> None:
+        """Listen."""
+        address = self._settings.http
+        self._server = await self._app.create_server(
+            host=address.host,
+            port=address.port,
+            return_asyncio_server=True,
+            access_log=False,
+            backlog=2048,
+        )
+        await self._server.startup()
+        await self._server.before_start()
+        await self._server.after_start()
+
+    async def close(self) -> None:
+        """Stop listening."""
+        if self._server is None:
+            return
+        await self._server.before_stop()
+        self._server.close()
+        for connection in list(self._server.connections):
+            with contextlib.suppress(Exception):
+                connection.close()
+        await self._server.after_stop()
+
+    def _make_app(self, operators: OperatorsApi) -> Sanic:
+        # Sanic keeps a registry of names, and several entries may share a process.
+        app = Sanic(f"entry-{uuid.uuid4().hex}", configure_logging=False)
+        app.config.TOUCHUP = False
+        app.config.MOTD = False
+        app.config.REQUEST_MAX_SIZE = self._deployment.limits.body_bytes
+        app.config.REQUEST_MAX_HEADER_SIZE = _MAX_HEADER_BYTES
+        app.config.REQUEST_TIMEOUT = _REQUEST_TIMEOUT_S
+        app.config.RESPONSE_TIMEOUT = self._deployment.limits.max_deadline_s
+        app.add_route(self._livez, "/livez")
+        app.add_route(self._readyz, "/readyz")
+        app.add_route(self._get_models, "/v1/models")
+        app.add_route(self._post_completion, "/v1/completions", methods=["POST"])
+        app.add_route(self._post_chat, "/v1/chat/completions", methods=["POST"])
+        app.add_route(
+            self._post_call, "/v1/services/<service>/<operation>", methods=["POST"]
+        )
+        operators.add_routes(app)
+        app.exception(Exception)(self._on_error)
+        return app
+
+    async def _livez(self, _request: Request) -> HTTPResponse:
+        return raw(b'{"live": true}', content_type=_JSON)
+
+    async def _readyz(self, _request: Request) -> HTTPResponse:
+        ready = not self.leaving and self._ready()
+        body = b'{"ready": true}' if ready else b'{"ready": false}'
+        return raw(body, status=200 if ready else 503, content_type=_JSON)
+
+    async def _get_models(self, request: Request) -> HTTPResponse:
+        self._organisation(request)
+        models = ", ".join(
+            f'{{"id": "{model.name}", "object": "model", "created": 0,'
+            f' "owned_by": "{self._deployment.name}"}}'
+            for model in self._deployment.models
+        )
+        return raw(
+            f'{{"object": "list", "data": [{models}]}}'.encode(), content_type=_JSON
+        )
+
+    async def _post_completion(self, request: Request) -> HTTPResponse | None:
+        return await self._generate(request, chat=False)
+
+    async def _post_chat(self, request: Request) -> HTTPResponse | None:
+        return await self._generate(request, chat=True)
+
+    async def _generate(self, request: Request, *, chat: bool) -> HTTPResponse | None:
+        organisation = self._begin(request)
+        generation = parse_generation(request.body, chat=chat)
+        job = self._job(request, organisation, generation)
+        shape = AnswerShape(job.request_id, generation, job.prompt_tokens)
+        with self._counted():
+            async with aclosing(self._timed(job)) as tokens:
+                if generation.stream:
+                    await self._stream(request, shape, tokens)
+                    return None
+                return await self._whole(request, shape, tokens)
+
+    async def _timed(self, job: CompletionJob) -> AsyncIterator[tuple[str, ...]]:
+        """The tokens of a job, which ends by its deadline whatever happens."""
+        begun_s = self._clock.elapsed_s()
+        tokens = 0
+        async with aclosing(self._completions.run(job)) as stream:
+            while True:
+                left_s = job.deadline_s - self._clock.elapsed_s()
+                try:
+                    async with asyncio.timeout(max(0.0, left_s)):
+                        texts = await anext(stream, None)
+                except TimeoutError:
+                    raise HoistError(
+                        ErrorKind.DEADLINE_EXCEEDED, "the deadline has passed"
+                    ) from None
+                if texts is None:
+                    break
+                if not tokens:
+                    took_s = self._clock.elapsed_s() - begun_s
+                    self._metrics.time("first_token", took_s)
+                tokens += len(texts)
+                yield texts
+        took_s = self._clock.elapsed_s() - begun_s
+        self._events.record(
+            EventKind.REQUEST_FINISHED,
+            f"{tokens} tokens, {took_s:.3f} s",
+            job.request_id,
+        )
+
+    async def _whole(
+        self,
+        request: Request,
+        shape: AnswerShape,
+        tokens: AsyncIterator[tuple[str, ...]],
+    ) -> HTTPResponse:
+        texts: list[str] = []
+        async for part in tokens:
+            texts.extend(part)
+        return raw(
+            shape.whole("".join(texts), len(texts)),
+            headers=_id_header(request),
+            content_type=_JSON,
+        )
+
+    async def _stream(
+        self,
+        request: Request,
+        shape: AnswerShape,
+        tokens: AsyncIterator[tuple[str, ...]],
+    ) -> None:
+        response = None
+        count = 0
+        try:
+            async for part in tokens:
+                if response is None:
+                    response = await request.respond(
+                        content_type=_EVENT_STREAM, headers=_id_header(request)
+                    )
+                first = count == 0
+                count += len(part)
+                await response.send(shape.chunk("".join(part), first=first))
+        except HoistError as error:
+            if response is None:
+                raise
+            # The status is sent already, so the error goes into the stream, without
+            # the end mark that a whole answer has.
+            self._note_failure(request, error)
+            body = error_body(error, request.ctx.request_id)
+            await response.send(b"data: " + body + b"\n\n")
+            await response.eof()
+            return
+        if response is not None:
+            await response.send(shape.last(count))
+            await response.eof()
+
+    async def _post_call(
+        self, request: Request, service: str, operation: str
+    ) -> HTTPResponse:
+        organisation = self._begin(request)
+        group = self._calls.group(service)
+        found = [item for item in group.operations if item.name == operation]
+        if not found:
+            raise HoistError(
+                ErrorKind.UNKNOWN_SERVICE,
+                f"{service} has no operation {operation}",
+                field="operation",
+            )
+        idempotent = found[0].idempotent
+        call = CallRequest(
+            stamp=self._stamp(),
+            request_id=request.ctx.request_id,
+            organisation=organisation,
+            service=service,
+            operation=operation,
+            idempotent=idempotent,
+            key="" if idempotent else self._key(request),
+            key_attempt=_key_attempt(request),
+            body=request.body,
+            deadline_left_s=self._deadline_left_s(request),
+        )
+        with self._counted():
+            outcome = await self._calls.call(call)
+        return raw(
+            outcome.body,
+            status=outcome.status,
+            headers=_id_header(request),
+            content_type=outcome.content_type,
+        )
+
+    def _begin(self, request: Request) -> str:
+        """Identify the caller and record the request."""
+        self._metrics.count("requests")
+        request.ctx.request_id = _request_id(request)
+        organisation = self._organisation(request)
+        self._events.record(
+            EventKind.REQUEST_RECEIVED,
+            f"{request.path} from {organisation}",
+            request.ctx.request_id,
+        )
+        if self.leaving:
+            raise HoistError(
+                ErrorKind.LEAVING, "this entry is leaving", retry_after_s=0.1
+            )
+        if not self._ready():
+            raise HoistError(
+                ErrorKind.NOT_READY, "this entry is starting", retry_after_s=1.0
+            )
+        return organisation
+
+    def _job(
+        self, request: Request, organisation: str, generation: Generation
+    ) -> CompletionJob:
+        model = self._model(generation.model)
+        prompt_tokens = count_tokens(generation.prompt)
+        max_tokens = generation.max_tokens or self._deployment.limits.default_max_tokens
+        if prompt_tokens + max_tokens > model.context_tokens:
+            raise HoistError(
+                ErrorKind.PROMPT_TOO_LONG,
+                f"the prompt has about {prompt_tokens} tokens, and with"
+                f" {max_tokens} of the answer {model.name} takes"
+                f" {model.context_tokens}",
+                field="messages" if generation.chat else "prompt",
+            )
+        return CompletionJob(
+            request.ctx.request_id,
+            model.name,
+            organisation,
+            generation.prompt,
+            prompt_tokens,
+            prefix_marks(generation.prompt),
+            max_tokens,
+            self._clock.elapsed_s() + self._deadline_left_s(request),
+            _priority(request),
+            generation.sampling,
+        )
+
+    def _model(self, name: str) -> ModelSettings:
+        for model in self._deployment.models:
+            if model.name == name:
+                return model
+        raise HoistError(
+            ErrorKind.UNKNOWN_MODEL, f"there is no model {name}", field="model"
+        )
+
+    def _organisation(self, request: Request) -> str:
+        header = request.headers.get("authorization", "")
+        return identify(header, self._deployment.organisations)
+
+    def _key(self, request: Request) -> str:
+        return check_key(
+            request.headers.get("idempotency-key", ""),
+            self._clock.wall_s(),
+            self._deployment.timing.outcome_retention_s,
+        )
+
+    def _deadline_left_s(self, request: Request) -> float:
+        limits = self._deployment.limits
+        text = request.headers.get("x-deadline-s")
+        if text is None:
+            return limits.default_deadline_s
+        try:
+            value = float(text)
+        except ValueError:
+            value = math.nan
+        if not 0 < value <= limits.max_deadline_s:
+            raise HoistError(
+                ErrorKind.INVALID_REQUEST,
+                f"must be seconds above 0 and up to {limits.max_deadline_s:g}",
+                field="X-Deadline-S",
+            )
+        return value
+
+    def _stamp(self) -> Stamp:
+        return self._identity.stamp()
+
+    @contextlib.contextmanager
+    def _counted(self):  # type: ignore[no-untyped-def]
+        self._in_progress += 1
+        self._metrics.gauge("streams", self._in_progress)
+        try:
+            yield
+        finally:
+            self._in_progress -= 1
+
+    async def _on_error(self, request: Request, exception: Exception) -> HTTPResponse:
+        error = _as_hoist_error(exception)
+        if error.kind is ErrorKind.INTERNAL:
+            _LOG.error("unexpected error", exc_info=exception)
+        self._note_failure(request, error)
+        headers = _id_header(request)
+        if error.retry_after_s > 0:
+            headers["Retry-After"] = str(math.ceil(error.retry_after_s))
+        return raw(
+            error_body(error, headers["X-Request-Id"]),
+            status=error.answer.status,
+            headers=headers,
+            content_type=_JSON,
+        )
+
+    def _note_failure(self, request: Request, error: HoistError) -> None:
+        self._metrics.count("refusals")
+        request_id = _id_header(request)["X-Request-Id"]
+        kind = (
+            EventKind.REQUEST_REFUSED
+            if error.not_run == "true"
+            else EventKind.REQUEST_FAILED
+        )
+        self._events.record(kind, f"{error.kind}: {error.message}", request_id)
+        request_log(_LOG, request_id).info("%s: %s", error.kind, error.message)
+
+
+def _as_hoist_error(exception: Exception) -> HoistError:
+    match exception:
+        case HoistError():
+            return exception
+        case BaseExceptionGroup():
+            faults = [
+                error for error in exception.exceptions if isinstance(error, HoistError)
+            ]
+            if not faults:
+                return HoistError(ErrorKind.INTERNAL, "unexpected error")
+            message = "; ".join(f"{error.field}: {error.message}" for error in faults)
+            return HoistError(faults[0].kind, message, field=faults[0].field)
+        case PayloadTooLarge():
+            return HoistError(ErrorKind.BODY_TOO_LARGE, "the body is too large")
+        case NotFound():
+            return HoistError(ErrorKind.UNKNOWN_RESOURCE, str(exception))
+        case SanicException() if exception.status_code < 500:
+            return HoistError(ErrorKind.INVALID_REQUEST, str(exception))
+        case _:
+            return HoistError(ErrorKind.INTERNAL, "unexpected error")
+
+
+def _request_id(request: Request) -> str:
+    given = request.headers.get("x-request-id", "")
+    usable = given.isascii() and given.replace("-", "").isalnum()
+    if given and (not usable or len(given) > _MAX_ID_CHARACTERS):
+        raise HoistError(
+            ErrorKind.INVALID_REQUEST,
+            f"must be up to {_MAX_ID_CHARACTERS} letters, digits and hyphens",
+            field="X-Request-Id",
+        )
+    # What a caller repeats must not cross with its first request, so the id is new.
+    suffix = uuid.uuid4().hex[:12]
+    return f"{given}-{suffix}" if given else f"req-{uuid.uuid4().hex}"
+
+
+def _id_header(request: Request) -> dict[str, str]:
+    request_id = getattr(request.ctx, "request_id", "") if request else ""
+    return {"X-Request-Id": request_id or f"req-{uuid.uuid4().hex}"}
+
+
+def _key_attempt(request: Request) -> int:
+    text = request.headers.get("idempotency-attempt", "0")
+    if not text.isascii() or not text.isdigit() or len(text) > 6:
+        raise HoistError(
+            ErrorKind.INVALID_REQUEST,
+            "must be a whole number from 1",
+            field="Idempotency-Attempt",
+        )
+    return int(text)
+
+
+def _priority(request: Request) -> int:
+    text = request.headers.get("x-priority", "normal")
+    if text not in ("normal", "low"):
+        raise HoistError(
+            ErrorKind.INVALID_REQUEST, "must be normal or low", field="X-Priority"
+        )
+    return 1 if text == "low" else 0
--- /dev/null
+++ b/gentianhoist/entry/_links.py
@@ -0,0 +1,199 @@
+"""Connections to other processes, kept alive by heartbeats."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from typing import Generic, TypeVar
+
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from gentianhoist.clocks import Clock
+from gentianhoist.configuration import ConfigurationReplica, Identity
+from gentianhoist.events import EventKind, EventRing
+from gentianhoist.membership import Member
+from gentianhoist.routing import BackendView
+from gentianhoist.settings import TimingSettings
+from gentianhoist.wire import (
+    EngineLoad,
+    EntryStub,
+    Heartbeat,
+    HeartbeatReply,
+    SidecarStub,
+    open_channel,
+)
+
+CONNECTION_ERRORS = (OSError, StreamTerminatedError, GRPCError, asyncio.TimeoutError)
+
+_UNKNOWN_LOAD = EngineLoad("", 1, 0, 0, 0, 0, 0, 10_000.0, 0.02, 0)
+
+_Stub = TypeVar("_Stub", SidecarStub, EntryStub)
+
+
+class Link(Generic[_Stub]):
+    """The connection to one other process.
+
+    Args:
+        member: The other process.
+        stub_type: How to call it.
+        identity: Who this process is.
+        configuration: Its copy of the configuration.
+        timing: Periods.
+        clock: This machine's clocks.
+        events: Where replaced connections are recorded.
+        on_reply: Told each answer, and when it was asked for.
+    """
+
+    def __init__(
+        self,
+        member: Member,
+        stub_type: type[_Stub],
+        identity: Identity,
+        configuration: ConfigurationReplica,
+        timing: TimingSettings,
+        clock: Clock,
+        events: EventRing,
+        on_reply: Callable[[Member, HeartbeatReply, float], None],
+    ) -> None:
+        self._member = member
+        self._stub_type = stub_type
+        self._identity = identity
+        self._configuration = configuration
+        self._timing = timing
+        self._clock = clock
+        self._events = events
+        self._on_reply = on_reply
+        self._heard_version = 0
+        self._task: asyncio.Task[None] | None = None
+        self._channel: Channel | None = None
+        self._stub: _Stub | None = None
+        self._last: HeartbeatReply | None = None
+
+    @property
+    def member(self) -> Member:
+        """The other process."""
+        return self._member
+
+    @property
+    def stub(self) -> _Stub:
+        """Calls it on the present connection."""
+        assert self._stub is not None, "start() first"
+        return self._stub
+
+    @property
+    def heard_version(self) -> int:
+        """Configuration version that it last had."""
+        return self._heard_version
+
+    async def start(self) -> None:
+        """Open the connection and keep it alive."""
+        self._open()
+        self._task = asyncio.create_task(self._beat())
+
+    async def close(self) -> None:
+        """Close the connection."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        if self._channel is not None:
+            self._channel.close()
+
+    def replace(self, reason: str) -> None:
+        """Drop the connection, which may have gone silent, and open a new one."""
+        self._events.record(
+            EventKind.CONNECTION_REPLACED, f"to {self._member.name}: {reason}"
+        )
+        if self._channel is not None:
+            self._channel.close()
+        self._open()
+
+    def _open(self) -> None:
+        self._channel = open_channel(self._member.host, self._member.port)
+        self._stub = self._stub_type(self._channel)
+
+    async def _beat(self) -> None:
+        while True:
+            asked_s = self._clock.elapsed_s()
+            stub = self.stub
+            try:
+                reply = await stub.heartbeat(
+                    self._heartbeat(), timeout=self._timing.silence_s
+                )
+            except CONNECTION_ERRORS as error:
+                if stub is self._stub and not isinstance(error, ConnectionRefusedError):
+                    self.replace(f"heartbeat: {type(error).__name__}")
+            else:
+                self._take(reply, asked_s)
+            await asyncio.sleep(self._timing.heartbeat_s)
+
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(
+            self._identity.stamp(),
+            update=self._configuration.update_for(self._heard_version),
+        )
+
+    def _take(self, reply: HeartbeatReply, asked_s: float) -> None:
+        self._identity.received(reply.stamp)
+        self._heard_version = reply.stamp.configuration_version
+        self._last = reply
+        self._on_reply(self._member, reply, asked_s)
+
+
+class EntryLink(Link[EntryStub]):
+    """The connection to another entry."""
+
+
+class SidecarLink(Link[SidecarStub]):
+    """The connection to a sidecar, with what is known of its backend server."""
+
+    def __init__(
+        self,
+        member: Member,
+        identity: Identity,
+        configuration: ConfigurationReplica,
+        timing: TimingSettings,
+        clock: Clock,
+        events: EventRing,
+        on_reply: Callable[[Member, HeartbeatReply, float], None],
+    ) -> None:
+        super().__init__(
+            member,
+            SidecarStub,
+            identity,
+            configuration,
+            timing,
+            clock,
+            events,
+            on_reply,
+        )
+        self._view = BackendView(member.name, member.availability_zone, _UNKNOWN_LOAD)
+        self._cursor = 0
+
+    @property
+    def view(self) -> BackendView:
+        """What routing knows of it."""
+        return self._view
+
+    def _heartbeat(self) -> Heartbeat:
+        return Heartbeat(
+            self._identity.stamp(),
+            self._cursor,
+            self._configuration.update_for(self._heard_version),
+        )
+
+    def _take(self, reply: HeartbeatReply, asked_s: float) -> None:
+        now_s = self._clock.elapsed_s()
+        if reply.load is not None:
+            self._view.heard(reply.load, now_s)
+            self._view.network_s = now_s - asked_s
+            self._view.cache.add(reply.cache_marks, now_s)
+            self._cursor = reply.cache_cursor
+        super()._take(reply, asked_s)
+
+
+async def close_all(links: list[Link]) -> None:
+    """Close many connections."""
+    with contextlib.suppress(Exception):
+        await asyncio.gather(*(link.close() for link in links))
--- /dev/null
+++ b/gentianhoist/entry/_operators.py
@@ -0,0 +1,223 @@
+"""The operators' interface, the same through every entry."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from typing import Any
+
+import msgspec
+from sanic import Request, Sanic
+from sanic.response import HTTPResponse, raw
+
+from gentianhoist.clocks import Clock
+from gentianhoist.configuration import (
+    Change,
+    ChangeRecord,
+    Configuration,
+    ConfigurationLog,
+    ConfigurationReplica,
+)
+from gentianhoist.entry._allowance import AllowanceKeeper
+from gentianhoist.entry._directory import Directory
+from gentianhoist.entry._keeper import ConfigurationKeeper
+from gentianhoist.entry._keys import identify
+from gentianhoist.entry._links import CONNECTION_ERRORS, Link
+from gentianhoist.entry._openai import decode_body
+from gentianhoist.events import Event, EventRing
+from gentianhoist.exceptions import ErrorKind, HoistError
+from gentianhoist.settings import DeploymentSettings
+from gentianhoist.store import StoreUnavailable
+from gentianhoist.wire import EventsRequest
+
+_EVENTS_TIMEOUT_S = 1.0
+_HISTORY_VERSIONS = 100
+_PREFIX = "/operators/v1"
+
+
+class ChangeBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /operators/v1/changes``.
+
+    Attributes:
+        changes: What changes, together.
+        change_id: Unique id; made up if it is empty.
+        expected_version: Version that the operator saw, 0 for the newest.
+        dry_run: Whether only to say what would happen.
+    """
+
+    changes: list[Change]
+    change_id: str = ""
+    expected_version: int = 0
+    dry_run: bool = False
+
+
+class OperatorsApi:
+    """Routes for operators.
+
+    Args:
+        deployment: The deployment's settings.
+        replica: This process's copy of the configuration.
+        keeper: Accepts changes.
+        log: Has the history.
+        directory: Knows the other processes.
+        allowance: Knows this entry's share.
+        clock: This machine's clocks.
+        events: This process's events.
+        instance: Name of this instance.
+    """
+
+    def __init__(
+        self,
+        deployment: DeploymentSettings,
+        replica: ConfigurationReplica,
+        keeper: ConfigurationKeeper,
+        log: ConfigurationLog,
+        directory: Directory,
+        allowance: AllowanceKeeper,
+        clock: Clock,
+        events: EventRing,
+        instance: str,
+    ) -> None:
+        self._deployment = deployment
+        self._replica = replica
+        self._keeper = keeper
+        self._log = log
+        self._directory = directory
+        self._allowance = allowance
+        self._clock = clock
+        self._events = events
+        self._instance = instance
+
+    def add_routes(self, app: Sanic) -> None:
+        """Add the routes to an application."""
+        app.add_route(self._get_configuration, f"{_PREFIX}/configuration")
+        app.add_route(self._get_history, f"{_PREFIX}/history")
+        app.add_route(self._post_change, f"{_PREFIX}/changes", methods=["POST"])
+        app.add_route(self._get_status, f"{_PREFIX}/status")
+        app.add_route(self._get_events, f"{_PREFIX}/events")
+
+    async def _get_configuration(self, request: Request) -> HTTPResponse:
+        self._operator(request)
+        return _json(describe(self._current(), self._clock.wall_s()))
+
+    async def _get_history(self, request: Request) -> HTTPResponse:
+        self._operator(request)
+        version = self._current().version
+        try:
+            records = await self._log.changes(
+                max(0, version - _HISTORY_VERSIONS), version
+            )
+        except StoreUnavailable as error:
+            raise HoistError(
+                ErrorKind.STORE_UNAVAILABLE, "the store doesn't answer"
+            ) from error
+        return _json({"records": records})
+
+    async def _post_change(self, request: Request) -> HTTPResponse:
+        operator = self._operator(request)
+        body = decode_body(request.body, ChangeBody)
+        if not body.changes:
+            raise HoistError(
+                ErrorKind.INVALID_REQUEST, "must not be empty", field="changes"
+            )
+        record = ChangeRecord(
+            0, body.change_id or uuid.uuid4().hex, operator, 0.0, tuple(body.changes)
+        )
+        accepted, configuration = await self._keeper.accept(
+            record, body.expected_version, dry_run=body.dry_run
+        )
+        return _json({
+            "dry_run": body.dry_run,
+            "record": accepted,
+            "configuration": describe(configuration, self._clock.wall_s()),
+        })
+
+    async def _get_status(self, request: Request) -> HTTPResponse:
+        self._operator(request)
+        links = [*self._directory.entries, *self._directory.sidecars]
+        return _json({
+            "instance": self._instance,
+            "configuration_version": self._replica.version,
+            "confirmed": self._keeper.confirmed,
+            "share_ppm": self._allowance.share_ppm,
+            "members": [self._describe_link(link) for link in links],
+        })
+
+    async def _get_events(self, request: Request) -> HTTPResponse:
+        self._operator(request)
+        try:
+            since_us = int(request.args.get("since_us", "0"))
+        except ValueError as error:
+            raise HoistError(
+                ErrorKind.INVALID_REQUEST, "must be a whole number", field="since_us"
+            ) from error
+        links = [*self._directory.entries, *self._directory.sidecars]
+        gathered = await asyncio.gather(
+            *(self._events_of(link, since_us) for link in links)
+        )
+        events = [event for found in gathered if found is not None for event in found]
+        missing = [
+            link.member.name
+            for link, found in zip(links, gathered, strict=True)
+            if found is None
+        ]
+        return _json({
+            "events": [*self._events.snapshot(since_us), *events],
+            "missing": missing,
+        })
+
+    async def _events_of(self, link: Link, since_us: int) -> list[Event] | None:
+        try:
+            reply = await link.stub.events(
+                EventsRequest(since_us), timeout=_EVENTS_TIMEOUT_S
+            )
+        except CONNECTION_ERRORS:
+            return None
+        return list(reply.events)
+
+    def _describe_link(self, link: Link) -> dict[str, Any]:
+        member = link.member
+        return {
+            "instance": member.name,
+            "role": member.role,
+            "availability_zone": member.availability_zone,
+            "group": member.group,
+            "state": self._directory.state(member.name),
+            "leaving": self._directory.leaving(member.name),
+            "configuration_version": link.heard_version,
+        }
+
+    def _operator(self, request: Request) -> str:
+        header = request.headers.get("authorization", "")
+        return identify(header, self._deployment.operators)
+
+    def _current(self) -> Configuration:
+        if self._replica.current is None:
+            raise HoistError(ErrorKind.NOT_READY, "no configuration yet")
+        return self._replica.current
+
+
+def describe(configuration: Configuration, wall_s: float) -> dict[str, Any]:
+    """A configuration as operators see it."""
+    return {
+        "version": configuration.version,
+        "preset_in_force": configuration.preset_in_force(wall_s).name,
+        "announced": [
+            switch._asdict()
+            for switch in configuration.switches
+            if switch.in_force_at_s > wall_s
+        ],
+        "presets": [
+            preset._asdict() for _, preset in sorted(configuration.presets.items())
+        ],
+        "availability_zones": {
+            zone: "out" if zone in configuration.zones_out else "in"
+            for zone in configuration.availability_zones
+        },
+        "instances_out": sorted(configuration.instances_out),
+        "weights": configuration.weights,
+    }
+
+
+def _json(content: object) -> HTTPResponse:
+    return raw(msgspec.json.encode(content), content_type="application/json")
--- /dev/null
+++ b/gentianhoist/entry/_stream_reader.py
@@ -0,0 +1,123 @@
+"""Reads one attempt's stream from a sidecar on one connection."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from grpclib.client import Stream
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from gentianhoist.exceptions import ErrorKind, HoistError
+from gentianhoist.streams import (
+    Complete,
+    Corrupt,
+    Deliver,
+    Drop,
+    Ended,
+    StreamAssembler,
+)
+from gentianhoist.wire import (
+    Ack,
+    Cancel,
+    Frame,
+    Refused,
+    RunMessage,
+    RunRequest,
+    SidecarStub,
+)
+
+_ACK_TOKENS = 256
+_FAREWELL_S = 0.5
+
+_Stream = Stream[RunMessage, Frame]
+
+
+class ConnectionLost(Exception):
+    """The connection failed; the attempt may be resumed on a new one."""
+
+
+class ConnectionSilent(ConnectionLost):
+    """The connection says nothing, though nothing has closed it."""
+
+
+async def read_stream(
+    stub: SidecarStub,
+    request: RunRequest,
+    assembler: StreamAssembler,
+    silence_s: float,
+) -> AsyncIterator[tuple[str, ...]]:
+    """Read until the answer is whole.
+
+    Args:
+        stub: Calls the sidecar.
+        request: What to run or resume.
+        assembler: Puts the answer together.
+        silence_s: Seconds after which the connection counts as silent.
+
+    Yields:
+        Consecutive tokens.
+
+    Raises:
+        HoistError: If the sidecar ends the attempt, or the answer is corrupt.
+        ConnectionLost: If the connection fails or is silent.
+    """
+    try:
+        async with stub.run.open() as stream:
+            async with asyncio.timeout(silence_s):
+                await stream.send_message(request)
+            async for texts in _read_open(stream, assembler, silence_s):
+                yield texts
+    except TimeoutError as error:
+        raise ConnectionSilent("silent") from error
+    except (OSError, StreamTerminatedError, GRPCError) as error:
+        raise ConnectionLost(type(error).__name__) from error
+
+
+async def _read_open(
+    stream: _Stream, assembler: StreamAssembler, silence_s: float
+) -> AsyncIterator[tuple[str, ...]]:
+    acknowledged = assembler.next_offset
+    try:
+        while True:
+            async with asyncio.timeout(silence_s):
+                frame = await stream.recv_message()
+            if frame is None:
+                raise ConnectionLost("the stream broke off")
+            match assembler.feed(frame):
+                case Deliver(texts=texts) if texts:
+                    yield texts
+                case Complete():
+                    await stream.end()
+                    return
+                case Ended(refusal=refusal):
+                    raise _as_error(refusal)
+                case Corrupt(reason=reason):
+                    raise HoistError(ErrorKind.CORRUPT_ANSWER, reason)
+                case Deliver() | Drop():
+                    continue
+            if assembler.next_offset - acknowledged >= _ACK_TOKENS:
+                acknowledged = assembler.next_offset
+                await stream.send_message(Ack(acknowledged))
+    except (GeneratorExit, asyncio.CancelledError):
+        await _say_farewell(stream)
+        raise
+
+
+async def _say_farewell(stream: _Stream) -> None:
+    """Tell the sidecar that nobody wants the answer, and wait until it has heard."""
+    with contextlib.suppress(Exception):
+        async with asyncio.timeout(_FAREWELL_S):
+            await stream.send_message(Cancel(), end=True)
+            while not isinstance(await stream.recv_message(), Refused | None):
+                continue
+
+
+def _as_error(refusal: Refused) -> HoistError:
+    return HoistError(
+        refusal.kind,
+        refusal.message,
+        retry_after_s=refusal.retry_after_s,
+        not_run=refusal.not_run,
+    )
--- /dev/null
+++ b/gentianhoist/entry/core.py
@@ -0,0 +1,254 @@
+"""The entry's process: puts its parts together, starts and stops them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from grpclib.server import Server
+
+from gentianhoist.allowance import Allowance, ShareLease
+from gentianhoist.calls import CallSettler, GroupCommit
+from gentianhoist.clocks import Clock, HybridClock, SystemClock
+from gentianhoist.configuration import (
+    ConfigurationLog,
+    ConfigurationReplica,
+    Confirmation,
+    Identity,
+)
+from gentianhoist.entry._allowance import AllowanceKeeper
+from gentianhoist.entry._calls import CallDispatcher
+from gentianhoist.entry._completions import CompletionDispatcher
+from gentianhoist.entry._directory import Directory
+from gentianhoist.entry._grpc import EntryGrpc
+from gentianhoist.entry._http import HttpApi
+from gentianhoist.entry._keeper import ConfigurationKeeper
+from gentianhoist.entry._operators import OperatorsApi
+from gentianhoist.events import EventKind, EventRing
+from gentianhoist.membership import Membership, member_from_settings
+from gentianhoist.routing import RoutingPolicy
+from gentianhoist.settings import DeploymentSettings, EntrySettings
+from gentianhoist.store import HttpPlatform
+from gentianhoist.telemetry import Metrics
+from gentianhoist.wire import MsgpackCodec
+
+__all__ = ["Entry"]
+
+_LOG = logging.getLogger(__name__)
+
+_DRAIN_POLL_S = 0.05
+_FAREWELL_HEARTBEATS = 3
+
+
+class Entry:
+    """One entry.
+
+    Args:
+        settings: Its own settings.
+        deployment: The deployment's.
+        clock: This machine's clocks.
+        policy: How to choose backend servers, if not the usual way.
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        deployment: DeploymentSettings,
+        clock: Clock | None = None,
+        policy: RoutingPolicy | None = None,
+    ) -> None:
+        self._settings = settings
+        self._deployment = deployment
+        self._clock = clock or SystemClock()
+        hybrid = HybridClock(self._clock)
+        self._events = EventRing(hybrid, settings.instance, settings.availability_zone)
+        self._metrics = Metrics(
+            settings.metrics.host, settings.metrics.port, settings.metrics.prefix
+        )
+        self._platform = HttpPlatform(
+            deployment.platform.url, deployment.platform.table_timeout_s
+        )
+        self._replica = ConfigurationReplica()
+        self._identity = Identity(
+            settings.instance, settings.availability_zone, hybrid, self._replica
+        )
+        self._commits = GroupCommit(self._platform)
+        self._make_keepers()
+        self._make_services(policy)
+
+    def _make_keepers(self) -> None:
+        timing = self._deployment.timing
+        log = ConfigurationLog(self._platform)
+        confirmation = Confirmation(timing.confirmation_s)
+        self._log = log
+        self._keeper = ConfigurationKeeper(
+            log,
+            self._replica,
+            confirmation,
+            self._deployment,
+            self._clock,
+            self._events,
+        )
+        seeds = [member_from_settings(item) for item in self._deployment.instances]
+        self._directory = Directory(
+            self._identity,
+            self._deployment,
+            self._replica,
+            confirmation,
+            Membership(self._settings.instance, seeds, timing.suspicion_s),
+            self._platform,
+            self._clock,
+            self._events,
+            self._keeper.take,
+        )
+        lease = ShareLease(
+            self._platform,
+            self._clock,
+            self._settings.instance,
+            self._identity.incarnation,
+            timing.share_lease_s,
+            timing.clock_skew_s,
+        )
+        self._allowance = AllowanceKeeper(
+            lease,
+            Allowance(timing.loan_s),
+            self._keeper,
+            self._directory,
+            self._identity,
+            self._clock,
+            self._events,
+        )
+
+    def _make_services(self, policy: RoutingPolicy | None) -> None:
+        completions = CompletionDispatcher(
+            self._identity,
+            self._deployment,
+            self._replica,
+            self._directory,
+            self._allowance,
+            self._clock,
+            self._events,
+            self._metrics,
+            policy,
+        )
+        settler = CallSettler(self._commits, self._clock, self._settings.instance)
+        calls = CallDispatcher(
+            self._deployment,
+            self._directory,
+            self._allowance,
+            settler,
+            self._clock,
+            self._events,
+            self._metrics,
+        )
+        operators = OperatorsApi(
+            self._deployment,
+            self._replica,
+            self._keeper,
+            self._log,
+            self._directory,
+            self._allowance,
+            self._clock,
+            self._events,
+            self._settings.instance,
+        )
+        self._http = HttpApi(
+            self._settings,
+            self._deployment,
+            self._identity,
+            completions,
+            calls,
+            operators,
+            self._is_ready,
+            self._clock,
+            self._events,
+            self._metrics,
+        )
+        self._grpc = EntryGrpc(
+            self._identity,
+            self._replica,
+            self._events,
+            lambda: self._keeper.accepting,
+            self._keeper.take,
+            self._allowance.lend,
+        )
+        self._server = Server([self._grpc], codec=MsgpackCodec())
+
+    @property
+    def events(self) -> EventRing:
+        """Its events."""
+        return self._events
+
+    @property
+    def keeper(self) -> ConfigurationKeeper:
+        """What keeps its configuration."""
+        return self._keeper
+
+    @property
+    def configuration(self) -> ConfigurationReplica:
+        """Its copy of the configuration."""
+        return self._replica
+
+    @property
+    def directory(self) -> Directory:
+        """Its links to other processes."""
+        return self._directory
+
+    @property
+    def allowance(self) -> AllowanceKeeper:
+        """Its share of what a minute may hold."""
+        return self._allowance
+
+    @property
+    def metrics(self) -> Metrics:
+        """Its counts."""
+        return self._metrics
+
+    @property
+    def platform(self) -> HttpPlatform:
+        """Its client of the platform."""
+        return self._platform
+
+    async def start(self) -> None:
+        """Start to serve; requests are refused until there is a configuration."""
+        await self._platform.start()
+        await self._commits.start()
+        await self._keeper.start()
+        await self._directory.start()
+        await self._allowance.start()
+        address = self._settings.grpc
+        await self._server.start(address.host, address.port, backlog=1024)
+        await self._http.start()
+        self._events.record(EventKind.PROCESS_STARTED, "entry")
+        _LOG.info(
+            "entry listens on %s:%d", self._settings.http.host, self._settings.http.port
+        )
+
+    async def drain(self) -> None:
+        """Take no new requests, and wait until those in progress are answered."""
+        self._http.leaving = True
+        self._grpc.leaving = True
+        self._events.record(EventKind.PROCESS_LEAVING, "asked to stop")
+        heartbeat_s = self._deployment.timing.heartbeat_s
+        await asyncio.sleep(_FAREWELL_HEARTBEATS * heartbeat_s)
+        try:
+            async with asyncio.timeout(self._deployment.limits.max_deadline_s):
+                while self._http.in_progress:
+                    await asyncio.sleep(_DRAIN_POLL_S)
+        except TimeoutError:
+            _LOG.error("requests were still in progress at the longest deadline")
+
+    async def close(self) -> None:
+        """Stop at once."""
+        await self._http.close()
+        await self._allowance.close()
+        await self._keeper.close()
+        await self._directory.close()
+        self._server.close()
+        await self._server.wait_closed()
+        await self._commits.close()
+        await self._platform.close()
+        self._events.record(EventKind.PROCESS_STOPPED, "entry")
+
+    def _is_ready(self) -> bool:
+        return self._replica.current is not None
--- /dev/null
+++ b/gentianhoist/routing/_estimate.py
@@ -0,0 +1,106 @@
+"""Expected time to first token of one request on one backend server."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from gentianhoist.capacity import WorkClass
+from gentianhoist.routing._cache_map import CacheMap
+from gentianhoist.routing._prefix import PrefixMark
+from gentianhoist.wire import EngineLoad
+
+_COLD_WAIT_S = 0.5
+
+
+class Demand(NamedTuple):
+    """What a request asks of a backend server.
+
+    Attributes:
+        prompt_tokens: Tokens of the prompt.
+        answer_tokens: Tokens of the answer at the most.
+        work_class: Length class.
+        marks: Prefixes of the prompt.
+    """
+
+    prompt_tokens: int
+    answer_tokens: int
+    work_class: WorkClass
+    marks: tuple[PrefixMark, ...] = ()
+
+
+@dataclass
+class BackendView:
+    """What an entry knows of one backend server; all of it may be old.
+
+    Attributes:
+        name: Name of its sidecar's instance.
+        availability_zone: Its availability zone.
+        load: The last load heard.
+        heard_s: When that was, on the entry's clock.
+        network_s: Round trip to it.
+        outstanding: Requests of this entry that it has.
+        sent_short_tokens: Short prompt tokens sent since the last load.
+        sent_total_tokens: All prompt tokens sent since the last load.
+        sent_streams: Streams sent since the last load.
+        cache: Prefixes that it probably has.
+    """
+
+    name: str
+    availability_zone: str
+    load: EngineLoad
+    heard_s: float = 0.0
+    network_s: float = 0.002
+    outstanding: int = 0
+    sent_short_tokens: int = 0
+    sent_total_tokens: int = 0
+    sent_streams: int = 0
+    cache: CacheMap = field(default_factory=CacheMap)
+
+    def heard(self, load: EngineLoad, now_s: float) -> None:
+        """Take a new load; it includes what was sent before it."""
+        if load.boot_id != self.load.boot_id:
+            self.cache.clear()
+        self.load = load
+        self.heard_s = now_s
+        self.sent_short_tokens = 0
+        self.sent_total_tokens = 0
+        self.sent_streams = 0
+
+    def sent(self, demand: Demand) -> None:
+        """Take note of a request sent, which the last load doesn't show."""
+        if demand.work_class is WorkClass.SHORT:
+            self.sent_short_tokens += demand.prompt_tokens
+        self.sent_total_tokens += demand.prompt_tokens
+        self.sent_streams += 1
+
+
+def expected_first_token_s(view: BackendView, demand: Demand, now_s: float) -> float:
+    """Expected time to first token.
+
+    Args:
+        view: What is known of the backend server.
+        demand: What the request asks.
+        now_s: The time on the entry's clock.
+
+    Returns:
+        Seconds. A cached prefix is a saving in them, never a rule.
+    """
+    load = view.load
+    cached = view.cache.cached_tokens(demand.marks, now_s)
+    uncached = max(1, demand.prompt_tokens - cached)
+    if demand.work_class is WorkClass.SHORT:
+        ahead = load.short_prefill_tokens + view.sent_short_tokens
+    else:
+        ahead = load.total_prefill_tokens + view.sent_total_tokens
+    prefill_s = (ahead + uncached) / load.prefill_tokens_per_s
+    return view.network_s + load.decode_step_s + prefill_s + _place_wait_s(view)
+
+
+def _place_wait_s(view: BackendView) -> float:
+    load = view.load
+    streams = load.running_streams + load.waiting_streams + view.sent_streams
+    excess = streams + 1 - load.limit_streams
+    if excess <= 0:
+        return 0.0
+    return _COLD_WAIT_S * excess / max(1, load.limit_streams)
--- /dev/null
+++ b/gentianhoist/routing/_retry_budget.py
@@ -0,0 +1,33 @@
+"""A budget of retries, as a part of the traffic."""
+
+from __future__ import annotations
+
+_RESERVE = 10.0
+
+
+class RetryBudget:
+    """Earns a part of a retry with each request and spends one with each retry.
+
+    Args:
+        ratio: Retries for each request.
+
+    Example:
+        >>> budget = RetryBudget(0.1)
+        >>> sum(budget.spend() for _ in range(20))
+        10
+    """
+
+    def __init__(self, ratio: float) -> None:
+        self._ratio = ratio
+        self._balance = _RESERVE
+
+    def earn(self) -> None:
+        """Take note of a request."""
+        self._balance = min(_RESERVE, self._balance + self._ratio)
+
+    def spend(self) -> bool:
+        """Spend one retry; False if the budget is empty."""
+        if self._balance < 1.0:
+            return False
+        self._balance -= 1.0
+        return True
--- /dev/null
+++ b/gentianhoist/sidecar/_engine_runner.py
@@ -0,0 +1,423 @@
+"""Runs generations on one engine: the task that owns the gate and the attempts."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from gentianhoist.backends import (
+    EngineBroken,
+    EngineClient,
+    EngineEnded,
+    EngineRefused,
+    EngineStream,
+    EngineTokens,
+    StreamOrder,
+)
+from gentianhoist.capacity import (
+    EngineGate,
+    Refuse,
+    Start,
+    Work,
+    WorkClass,
+    classify,
+)
+from gentianhoist.clocks import Clock
+from gentianhoist.events import EventKind, EventRing
+from gentianhoist.exceptions import ErrorKind, NotRun
+from gentianhoist.routing import CacheMap, PrefixMark
+from gentianhoist.settings import LimitSettings, TimingSettings
+from gentianhoist.sidecar._attempt import Attempt, AttemptState, refused, stream_id
+from gentianhoist.wire import (
+    Admitted,
+    Beat,
+    Chunk,
+    EngineLoad,
+    Frame,
+    Refused,
+    RunRequest,
+)
+
+_TICK_S = 0.05
+_RECONCILE_S = 0.5
+_CACHE_EVENTS_S = 0.25
+_ENGINE_SILENCE_S = 20.0
+_ENGINE_RESUMES = 2
+_MARKS_KEPT = 1024
+_FULL_MEMORY_STATUS = 413
+
+
+class EngineRunner:
+    """Everything that a sidecar does with its engine.
+
+    Args:
+        client: Client of the engine.
+        gate: Decides what starts.
+        limits: Bounds.
+        timing: Periods.
+        clock: This machine's clocks.
+        events: Where decisions are recorded.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        gate: EngineGate,
+        limits: LimitSettings,
+        timing: TimingSettings,
+        clock: Clock,
+        events: EventRing,
+    ) -> None:
+        self._client = EngineClient(url, _ENGINE_SILENCE_S, self._saw_boot)
+        self._gate = gate
+        self._limits = limits
+        self._timing = timing
+        self._clock = clock
+        self._events = events
+        self._attempts: dict[str, Attempt] = {}
+        self._boot_id = ""
+        self._cache = CacheMap()
+        self._cache_marks: list[int] = []
+        self._cache_end = 0
+        self._strays: set[str] = set()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._reachable = False
+
+    @property
+    def in_progress(self) -> int:
+        """Attempts that have not ended."""
+        return sum(
+            attempt.state is not AttemptState.ENDED
+            for attempt in self._attempts.values()
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the engine answers and holds nothing of an earlier life."""
+        return self._reachable
+
+    async def start(self) -> None:
+        """Free what an earlier life left in the engine, then serve."""
+        await self._client.start()
+        self._tasks = [
+            asyncio.create_task(self._tick()),
+            asyncio.create_task(self._reconcile()),
+            asyncio.create_task(self._watch_cache()),
+        ]
+
+    async def close(self) -> None:
+        """Stop at once; cancel what still runs in the engine."""
+        for attempt in list(self._attempts.values()):
+            self._cancel(attempt, "the sidecar stops")
+        tasks = [attempt.task for attempt in self._attempts.values() if attempt.task]
+        for task in (*self._tasks, *tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, *tasks, return_exceptions=True)
+        for name in list(self._strays):
+            await self._free(name)
+        await self._client.close()
+
+    def load(self) -> EngineLoad:
+        """What entries are told."""
+        now_s = self._clock.elapsed_s()
+        gate = self._gate
+        return EngineLoad(
+            boot_id=self._boot_id,
+            limit_streams=gate.slow_start.limit_streams,
+            running_streams=len(gate.running_ids),
+            waiting_streams=len(gate.waiting_ids),
+            short_prefill_tokens=gate.prefill_ahead_tokens(WorkClass.SHORT, now_s),
+            total_prefill_tokens=gate.prefill_ahead_tokens(WorkClass.LONG, now_s),
+            kv_free_tokens=gate.kv_free_tokens,
+            prefill_tokens_per_s=gate.speed.prefill_tokens_per_s,
+            decode_step_s=gate.speed.decode_step_s,
+            long_streams=gate.long_streams,
+        )
+
+    def cache_marks_after(self, cursor: int) -> tuple[int, tuple[int, ...], bool]:
+        """Prefixes cached after a cursor.
+
+        Returns:
+            The new cursor, the marks, and whether some before them are lost.
+        """
+        first = self._cache_end - len(self._cache_marks)
+        gap = cursor < first or cursor > self._cache_end
+        skip = 0 if gap else cursor - first
+        return self._cache_end, tuple(self._cache_marks[skip:]), gap
+
+    def admit(self, request: RunRequest) -> Attempt | Refused:
+        """Ask for admission of a new attempt."""
+        if not self._reachable:
+            return refused(request, ErrorKind.NOT_READY, "the engine doesn't answer")
+        if stream_id(request) in self._attempts:
+            return refused(
+                request, ErrorKind.INVALID_REQUEST, "attempt exists", NotRun.UNKNOWN
+            )
+        now_s = self._clock.elapsed_s()
+        work = self._work(request, now_s)
+        decision = self._gate.offer(work, now_s)
+        if isinstance(decision, Refuse):
+            self._events.record(
+                EventKind.WORK_REFUSED, decision.message, request.request_id
+            )
+            return refused(
+                request,
+                decision.kind,
+                decision.message,
+                retry_after_s=decision.retry_after_s,
+            )
+        attempt = Attempt(request, work, now_s)
+        self._attempts[attempt.stream_id] = attempt
+        self._events.record(
+            EventKind.WORK_ADMITTED,
+            f"{work.work_class.name.lower()}, {work.uncached_tokens} tokens to prefill,"
+            f" {len(self._gate.running_ids)} of"
+            f" {self._gate.slow_start.limit_streams} streams run",
+            request.request_id,
+        )
+        if isinstance(decision, Start):
+            self._launch(attempt)
+        return attempt
+
+    def find(self, request: RunRequest) -> Attempt | None:
+        """The attempt that a request wants to resume."""
+        return self._attempts.get(stream_id(request))
+
+    async def frames(self, attempt: Attempt, offset: int) -> AsyncIterator[Frame]:
+        """The frames of an attempt from an offset on, with beats between them."""
+        request_id, number = attempt.request.request_id, attempt.request.attempt
+        attempt.readers += 1
+        try:
+            yield Admitted(request_id, number)
+            while True:
+                changed = attempt.changed
+                texts = attempt.buffer.tokens_from(offset)
+                if texts:
+                    yield Chunk(request_id, number, offset, texts)
+                    offset += len(texts)
+                    continue
+                if attempt.end is not None:
+                    yield attempt.end
+                    return
+                try:
+                    async with asyncio.timeout(self._timing.heartbeat_s):
+                        await changed.wait()
+                except TimeoutError:
+                    yield Beat(request_id, number)
+        finally:
+            attempt.readers -= 1
+            attempt.detached_s = self._clock.elapsed_s()
+
+    def acknowledge(self, attempt: Attempt, offset: int) -> None:
+        """The entry has every token before an offset."""
+        attempt.buffer.acknowledge(offset)
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Nobody wants the answer any more."""
+        self._cancel(attempt, "cancelled by the caller")
+
+    def _work(self, request: RunRequest, now_s: float) -> Work:
+        marks = _marks(request)
+        generated = request.offset
+        prompt_tokens = request.prompt_tokens + generated
+        uncached = max(1, prompt_tokens - self._cache.cached_tokens(marks, now_s))
+        work_class = classify(
+            uncached, self._limits.short_tokens, self._limits.long_tokens
+        )
+        return Work(
+            stream_id(request),
+            request.organisation,
+            request.weight,
+            prompt_tokens,
+            uncached,
+            request.max_tokens - generated,
+            work_class,
+            now_s,
+            now_s + request.deadline_left_s,
+            request.priority,
+        )
+
+    def _launch(self, attempt: Attempt) -> None:
+        attempt.state = AttemptState.RUNNING
+        attempt.task = asyncio.create_task(self._run(attempt))
+
+    async def _run(self, attempt: Attempt) -> None:
+        request = attempt.request
+        order = StreamOrder(
+            attempt.stream_id,
+            request.prompt,
+            attempt.work.prompt_tokens,
+            request.max_tokens,
+            request.offset,
+            int(attempt.work.work_class) + request.priority,
+            tuple((mark.name, mark.tokens) for mark in _marks(request)),
+            request.generated,
+            request.sampling,
+        )
+        stream = self._client.run(order)
+        try:
+            for _ in range(_ENGINE_RESUMES + 1):
+                if await self._read(attempt, stream):
+                    return
+                self._events.record(
+                    EventKind.STREAM_RESUMED,
+                    f"from {attempt.buffer.end_offset} at the engine",
+                    request.request_id,
+                )
+                stream = self._client.resume(
+                    attempt.stream_id, attempt.buffer.end_offset
+                )
+            attempt.fail(ErrorKind.BACKEND_FAILED, "the engine broke", NotRun.UNKNOWN)
+        finally:
+            self._ended(attempt)
+
+    async def _read(self, attempt: Attempt, stream: EngineStream) -> bool:
+        """Read until the attempt ends; False if the stream should be resumed."""
+        try:
+            async for item in stream:
+                match item:
+                    case EngineTokens(texts=texts):
+                        self._take(attempt, texts)
+                    case EngineEnded(reason="length"):
+                        attempt.finish("length")
+                        return True
+                    case EngineEnded(reason=reason):
+                        attempt.fail(ErrorKind.BACKEND_FAILED, reason, NotRun.UNKNOWN)
+                        return True
+        except EngineRefused as error:
+            self._refused_by_engine(attempt, error)
+            return True
+        except EngineBroken:
+            return False
+        return False
+
+    def _take(self, attempt: Attempt, texts: list[str]) -> None:
+        if attempt.buffer.end_offset == attempt.request.offset:
+            self._gate.first_token(attempt.work.request_id, self._clock.elapsed_s())
+        attempt.buffer.append(texts)
+        attempt.wake()
+
+    def _refused_by_engine(self, attempt: Attempt, error: EngineRefused) -> None:
+        started = attempt.buffer.end_offset > attempt.request.offset
+        not_run = NotRun.UNKNOWN if started else NotRun.TRUE
+        if error.status == _FULL_MEMORY_STATUS:
+            attempt.fail(ErrorKind.PROMPT_TOO_LONG, str(error), not_run)
+            return
+        self._gate.slow_start.overloaded()
+        self._events.record(
+            EventKind.BACKEND_LIMIT,
+            f"refused work ({error}); limit is now"
+            f" {self._gate.slow_start.limit_streams}",
+            attempt.request.request_id,
+        )
+        kind = ErrorKind.BACKEND_FAILED if started else ErrorKind.OVERLOADED
+        attempt.fail(kind, str(error), not_run)
+
+    def _ended(self, attempt: Attempt) -> None:
+        now_s = self._clock.elapsed_s()
+        tokens = attempt.buffer.end_offset - attempt.request.offset
+        self._gate.end(attempt.work.request_id, now_s, tokens)
+        if self._reachable:
+            self._launch_startable(now_s)
+
+    def _launch_startable(self, now_s: float) -> None:
+        for work in self._gate.startable(now_s):
+            self._launch(self._attempts[work.request_id])
+
+    def _cancel(self, attempt: Attempt, reason: str) -> None:
+        if attempt.state is AttemptState.ENDED:
+            return
+        running = attempt.state is AttemptState.RUNNING
+        not_run = NotRun.UNKNOWN if running else NotRun.TRUE
+        attempt.fail(ErrorKind.DEADLINE_EXCEEDED, reason, not_run)
+        if attempt.task is not None:
+            attempt.task.cancel()
+        self._ended(attempt)
+        if running:
+            # The engine has its memory until it no longer lists the stream.
+            self._strays.add(attempt.stream_id)
+            self._gate.hold(attempt.stream_id, attempt.work.kv_tokens)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(_TICK_S)
+            now_s = self._clock.elapsed_s()
+            for work in self._gate.late(now_s):
+                self._cancel(
+                    self._attempts[work.request_id], "it can't be done in time"
+                )
+            for attempt in list(self._attempts.values()):
+                self._check(attempt, now_s)
+            self._launch_startable(now_s)
+
+    def _check(self, attempt: Attempt, now_s: float) -> None:
+        unread = not attempt.readers and (
+            now_s - attempt.detached_s > self._timing.resume_lease_s
+        )
+        if attempt.state is AttemptState.ENDED:
+            if unread:
+                del self._attempts[attempt.stream_id]
+        elif now_s > attempt.work.deadline_s:
+            self._cancel(attempt, "the deadline has passed")
+        elif unread:
+            self._cancel(attempt, "its entry has gone")
+        elif attempt.buffer.size_bytes > self._limits.frame_buffer_bytes:
+            self._cancel(attempt, "the entry doesn't read")
+
+    async def _free(self, name: str) -> None:
+        with contextlib.suppress(EngineBroken):
+            await self._client.cancel(name)
+
+    async def _reconcile(self) -> None:
+        """Free what the engine holds and nobody owns."""
+        while True:
+            try:
+                streams = await self._client.streams()
+            except EngineBroken:
+                self._reachable = False
+            else:
+                self._settle_strays(set(streams))
+                if not self._reachable and not self._strays:
+                    self._reachable = True
+                    self._events.record(EventKind.BACKEND_COLD, "the engine answers")
+            for name in list(self._strays):
+                await self._free(name)
+            await asyncio.sleep(_RECONCILE_S if self._reachable else _TICK_S)
+
+    def _settle_strays(self, streams: set[str]) -> None:
+        for name in self._strays - streams:
+            self._gate.free(name)
+        self._strays &= streams
+        self._strays |= {name for name in streams if not self._owned(name)}
+
+    def _owned(self, name: str) -> bool:
+        attempt = self._attempts.get(name)
+        return attempt is not None and attempt.state is AttemptState.RUNNING
+
+    async def _watch_cache(self) -> None:
+        while True:
+            try:
+                added, removed = await self._client.cache_events()
+            except EngineBroken:
+                added, removed = [], []
+            self._cache.add(added, self._clock.elapsed_s())
+            self._cache.remove(removed)
+            self._cache_end += len(added)
+            self._cache_marks = [*self._cache_marks, *added][-_MARKS_KEPT:]
+            await asyncio.sleep(_CACHE_EVENTS_S)
+
+    def _saw_boot(self, boot_id: str) -> None:
+        if not boot_id or boot_id == self._boot_id:
+            return
+        self._boot_id = boot_id
+        self._gate.turned_cold()
+        self._cache.clear()
+        self._cache_end += 1 + len(self._cache_marks)
+        self._cache_marks = []
+        self._client.restarted()
+        self._events.record(EventKind.BACKEND_COLD, f"boot {boot_id[:8]}")
+
+
+def _marks(request: RunRequest) -> tuple[PrefixMark, ...]:
+    return tuple(PrefixMark(name, tokens) for name, tokens in request.prefix_marks)
--- /dev/null
+++ b/gentianhoist/sidecar/_grpc.py
@@ -0,0 +1,185 @@
+"""The sidecar's gRPC service: checks who may have work, then hands it on."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+
+from grpclib.server import Stream
+
+from gentianhoist.configuration import ConfigurationReplica, Identity
+from gentianhoist.events import EventKind, EventRing
+from gentianhoist.exceptions import ErrorKind, NotRun
+from gentianhoist.sidecar._attempt import Attempt, refused
+from gentianhoist.sidecar._engine_runner import EngineRunner
+from gentianhoist.sidecar._service_runner import ServiceRunner
+from gentianhoist.wire import (
+    Ack,
+    CallReply,
+    CallRequest,
+    Cancel,
+    EventsReply,
+    EventsRequest,
+    Frame,
+    Heartbeat,
+    HeartbeatReply,
+    Refused,
+    RunMessage,
+    RunRequest,
+    SidecarService,
+)
+
+
+class SidecarGrpc(SidecarService):
+    """Answers entries.
+
+    Args:
+        identity: Who this process is.
+        configuration: Its copy of the configuration.
+        events: Its events.
+        engine: Runs generations, if its backend server is an engine.
+        service: Runs calls, if it is a plain service.
+    """
+
+    def __init__(
+        self,
+        identity: Identity,
+        configuration: ConfigurationReplica,
+        events: EventRing,
+        engine: EngineRunner | None,
+        service: ServiceRunner | None,
+    ) -> None:
+        self._identity = identity
+        self._configuration = configuration
+        self._events = events
+        self._engine = engine
+        self._service = service
+        self.leaving = False
+
+    async def heartbeat(self, stream: Stream[Heartbeat, HeartbeatReply]) -> None:
+        """Take the configuration if it is newer, and tell the load."""
+        message = await stream.recv_message()
+        if message is None:
+            return
+        self._identity.received(message.stamp)
+        if message.update is not None and self._configuration.take(message.update):
+            self._note_configuration()
+        load, cursor, marks, gap = None, 0, (), False
+        if self._engine is not None:
+            load = self._engine.load()
+            cursor, marks, gap = self._engine.cache_marks_after(message.cache_cursor)
+        await stream.send_message(
+            HeartbeatReply(
+                stamp=self._identity.stamp(),
+                leaving=self.leaving or not self._backend_ready(),
+                accepting=False,
+                load=load,
+                cache_cursor=cursor,
+                cache_marks=marks,
+                cache_gap=gap,
+                update=self._configuration.update_for(
+                    message.stamp.configuration_version
+                ),
+            )
+        )
+
+    async def events(self, stream: Stream[EventsRequest, EventsReply]) -> None:
+        """Hand out the events."""
+        message = await stream.recv_message()
+        if message is not None:
+            events = self._events.snapshot(message.since_us)
+            await stream.send_message(EventsReply(tuple(events)))
+
+    async def run(self, stream: Stream[RunMessage, Frame]) -> None:
+        """Run or resume one generation."""
+        request = await stream.recv_message()
+        if not isinstance(request, RunRequest):
+            return
+        self._identity.received(request.stamp)
+        found = self._attempt(request)
+        if isinstance(found, Refused):
+            await stream.send_message(found)
+            return
+        assert self._engine is not None
+        listener = asyncio.create_task(self._listen(stream, found))
+        try:
+            async for frame in self._engine.frames(found, request.offset):
+                await stream.send_message(frame)
+        finally:
+            listener.cancel()
+
+    async def call(self, stream: Stream[CallRequest, CallReply]) -> None:
+        """Call the plain service."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        self._identity.received(request.stamp)
+        await stream.send_message(await self._call(request))
+
+    async def _call(self, request: CallRequest) -> CallReply:
+        if self._service is None:
+            return CallReply(None, ErrorKind.UNKNOWN_SERVICE, "an engine stands here")
+        refusal = self._closed()
+        # A repeat of a key that this life knows is answered also while it leaves.
+        if refusal is not None and not self._service.knows(request):
+            return CallReply(None, refusal, "no new work here", NotRun.TRUE)
+        return await self._service.call(request)
+
+    def _attempt(self, request: RunRequest) -> Attempt | Refused:
+        if self._engine is None:
+            return refused(request, ErrorKind.UNKNOWN_MODEL, "a service stands here")
+        if request.resume:
+            return self._resumed(request, self._engine)
+        refusal = self._closed()
+        if refusal is not None:
+            return refused(request, refusal, "no new work here")
+        return self._engine.admit(request)
+
+    def _resumed(self, request: RunRequest, engine: EngineRunner) -> Attempt | Refused:
+        attempt = engine.find(request)
+        if attempt is None or request.offset < attempt.buffer.first_offset:
+            return refused(
+                request,
+                ErrorKind.BACKEND_FAILED,
+                "nothing to resume",
+                NotRun.UNKNOWN,
+            )
+        self._events.record(
+            EventKind.STREAM_RESUMED, f"from {request.offset}", request.request_id
+        )
+        return attempt
+
+    def _backend_ready(self) -> bool:
+        backend = self._engine or self._service
+        return backend is not None and backend.ready
+
+    def _closed(self) -> ErrorKind | None:
+        """Why there is no new work here, if so."""
+        configuration = self._configuration.current
+        if configuration is None:
+            return ErrorKind.NOT_READY
+        if self.leaving:
+            return ErrorKind.LEAVING
+        if not configuration.takes_work(
+            self._identity.instance, self._identity.availability_zone
+        ):
+            return ErrorKind.ZONE_OUT
+        return None if self._backend_ready() else ErrorKind.NOT_READY
+
+    async def _listen(
+        self, stream: Stream[RunMessage, Frame], attempt: Attempt
+    ) -> None:
+        assert self._engine is not None
+        with contextlib.suppress(Exception):
+            while (message := await stream.recv_message()) is not None:
+                match message:
+                    case Ack(offset=offset):
+                        self._engine.acknowledge(attempt, offset)
+                    case Cancel():
+                        self._engine.cancel(attempt)
+
+    def _note_configuration(self) -> None:
+        self._events.configuration_version = self._configuration.version
+        self._events.record(
+            EventKind.CONFIGURATION_APPLIED, f"version {self._configuration.version}"
+        )
--- /dev/null
+++ b/gentianhoist/store/_http.py
@@ -0,0 +1,152 @@
+"""The platform's services over HTTP."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import Sequence
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from gentianhoist.store.core import (
+    ConditionFailed,
+    ListedInstance,
+    Row,
+    StoreInDoubt,
+    StoreUnavailable,
+    Transaction,
+)
+
+_CONFLICT = 409
+_NOT_FOUND = 404
+
+
+class _WireRow(msgspec.Struct):
+    key: str
+    version: int
+    writer: str
+    value: str
+
+
+class _WireRows(msgspec.Struct):
+    rows: list[_WireRow]
+
+
+class _WireInstances(msgspec.Struct):
+    instances: list[ListedInstance]
+
+
+def _rows(data: bytes) -> list[Row]:
+    found = msgspec.json.decode(data, type=_WireRows).rows
+    return [
+        Row(row.key, row.version, row.writer, base64.b64decode(row.value))
+        for row in found
+    ]
+
+
+class HttpPlatform:
+    """Client of all the platform's services.
+
+    Args:
+        url: Base URL.
+        timeout_s: Seconds until an answer counts as lost.
+    """
+
+    def __init__(self, url: str, timeout_s: float) -> None:
+        self._url = url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._session: aiohttp.ClientSession | None = None
+        self.reads = 0
+        self.writes = 0
+
+    async def start(self) -> None:
+        """Open the client."""
+        self._session = aiohttp.ClientSession(timeout=self._timeout)
+
+    async def close(self) -> None:
+        """Close the client's connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def transact(self, transaction: Transaction) -> None:
+        """Carry out a transaction; see `TableClient.transact`."""
+        self.writes += 1
+        body = {
+            "transaction_id": transaction.id,
+            "checks": [check._asdict() for check in transaction.checks],
+            "puts": [
+                {"key": put.key, "value": base64.b64encode(put.value).decode()}
+                for put in transaction.puts
+            ],
+            "deletes": list(transaction.deletes),
+        }
+        try:
+            status, data = await self._post("/table/transact", body)
+        except aiohttp.ClientConnectorError as error:
+            raise StoreUnavailable(str(error)) from error
+        except (TimeoutError, aiohttp.ClientError) as error:
+            raise StoreInDoubt(transaction.id) from error
+        if status == _CONFLICT:
+            raise ConditionFailed(tuple(_rows(data)))
+        if status != 200:
+            raise StoreInDoubt(transaction.id)
+
+    async def read(self, keys: Sequence[str]) -> list[Row]:
+        """Read rows; see `TableClient.read`."""
+        return _rows(await self._ask("/table/read", {"keys": list(keys)}))
+
+    async def scan(self, prefix: str, limit: int) -> list[Row]:
+        """Read rows by prefix; see `TableClient.scan`."""
+        body = {"prefix": prefix, "limit": limit}
+        return _rows(await self._ask("/table/scan", body))
+
+    async def instances(self) -> list[ListedInstance]:
+        """Read the instance list.
+
+        Raises:
+            StoreUnavailable: If there is no answer.
+        """
+        data = await self._request("GET", "/instances")
+        return msgspec.json.decode(data, type=_WireInstances).instances
+
+    async def put_object(self, name: str, data: bytes) -> None:
+        """Store an object. Raises `StoreUnavailable` if there is no answer."""
+        await self._request("PUT", f"/objects/{name}", data)
+
+    async def get_object(self, name: str) -> bytes:
+        """Fetch an object. Raises `StoreUnavailable` if there is no answer."""
+        return await self._request("GET", f"/objects/{name}")
+
+    async def delete_object(self, name: str) -> None:
+        """Delete an object. Raises `StoreUnavailable` if there is no answer."""
+        await self._request("DELETE", f"/objects/{name}")
+
+    async def fetch_weights(self, model: str) -> bytes:
+        """Fetch a model's weights. Raises `StoreUnavailable`, or when told to wait."""
+        return await self._request("GET", f"/weights/{model}")
+
+    async def _ask(self, path: str, body: Any) -> bytes:
+        self.reads += 1
+        return await self._request("POST", path, msgspec.json.encode(body))
+
+    async def _post(self, path: str, body: Any) -> tuple[int, bytes]:
+        assert self._session is not None, "start() first"
+        data = msgspec.json.encode(body)
+        async with self._session.post(self._url + path, data=data) as response:
+            return response.status, await response.read()
+
+    async def _request(
+        self, method: str, path: str, body: bytes | None = None
+    ) -> bytes:
+        assert self._session is not None, "start() first"
+        try:
+            async with self._session.request(
+                method, self._url + path, data=body
+            ) as response:
+                data = await response.read()
+        except (TimeoutError, aiohttp.ClientError) as error:
+            raise StoreUnavailable(str(error)) from error
+        if response.status >= 400:
+            raise StoreUnavailable(f"{path}: HTTP {response.status}")
+        return data
