--- a/gentianhoist/calls/_executor.py
+++ b/gentianhoist/calls/_executor.py
@@ -35,6 +35,7 @@
 _LOG = logging.getLogger(__name__)
 
 _RECORD_TRIES = 8
+_FREE_TRIES = 2
 _RECORD_PAUSE_S = 0.25
 _LATE_ANSWER_S = 600.0
 _REMEMBERED_CALLS = 10_000
@@ -134,7 +135,7 @@
             return await self._send_idempotent(request)
         key = row_key(request)
         call = self._calls.get(key)
-        if call is None or self._may_begin_again(call, request):
+        if call is None or self._may_begin_again(call):
             call = self._begin(key, request)
         elif call.digest != body_digest(request.body):
             return _reply(
@@ -157,16 +158,12 @@
                 ErrorKind.DEADLINE_EXCEEDED, "no answer in time", NotRun.UNKNOWN
             )
 
-    def _may_begin_again(self, call: _Call, request: CallRequest) -> bool:
-        """Whether a finished call was surely not handed on and is asked for anew."""
-        if not call.reply.done():
+    def _may_begin_again(self, call: _Call) -> bool:
+        """Whether the call was surely not handed on and its row decides anew."""
+        if not call.forgettable or not call.reply.done():
             return False
         reply = call.reply.result()
-        if reply.outcome is not None or reply.not_run is not NotRun.TRUE:
-            return False
-        if reply.kind is ErrorKind.STORE_UNAVAILABLE:
-            return True
-        return request.key_attempt > call.request.key_attempt
+        return reply.outcome is None and reply.not_run is NotRun.TRUE
 
     def _begin(self, key: str, request: CallRequest) -> _Call:
         reply = asyncio.get_running_loop().create_future()
@@ -255,14 +252,15 @@
                     return reply
 
     async def _refuse_unsent(self, key: str, call: _Call, refusal: CallReply) -> None:
-        """Refuse a call that was not handed on, and put a tombstone on its intent.
+        """Give the intent up, so that another sidecar can take the call.
 
-        The refusal is true even if the tombstone can't be written: this life won't
-        hand the call on for any attempt up to this one, and the intent keeps others
-        from it.
+        If that can't be written, the intent stands and nobody runs the key: this life
+        answers every repeat with the same refusal.
         """
+        await self._record(key, call, CallState.FREE, None, tries=_FREE_TRIES)
         call.reply.set_result(refusal)
-        await self._record(key, call, CallState.VOID, None)
+        if not call.forgettable:
+            await self._record(key, call, CallState.FREE, None)
 
     async def _record(
         self,
@@ -270,9 +268,10 @@
         call: _Call,
         state: CallState,
         outcome: CallOutcome | None,
+        tries: int = _RECORD_TRIES,
     ) -> None:
         value = encode_call(self._new_record(call.request, state, outcome))
-        for attempt in range(_RECORD_TRIES):
+        for attempt in range(tries):
             try:
                 row = await self._own_intent(key)
                 if row is not None:
--- a/gentianhoist/calls/core.py
+++ b/gentianhoist/calls/core.py
@@ -37,6 +37,7 @@
 
     INTENT = "intent"
     VOID = "void"
+    FREE = "free"
     DONE = "done"
     DOUBT = "doubt"
 
@@ -70,7 +71,7 @@
 
 @dataclass(frozen=True)
 class Revive:
-    """A later attempt of the caller may replace the tombstone by an intent."""
+    """Nobody can run the key under this row, and this attempt may replace it."""
 
 
 @dataclass(frozen=True)
@@ -125,6 +126,8 @@
             return Tell(CallReply(record.outcome))
         case CallRecord(state=CallState.VOID, attempt=attempt):
             return Revive() if request.key_attempt > attempt else Tell(_voided())
+        case CallRecord(state=CallState.FREE):
+            return Revive()
         case CallRecord(state=CallState.INTENT, incarnation=owner):
             return Execute() if owner == incarnation else Tell(_unknown(record))
         case _:
--- a/gentianhoist/entry/_calls.py
+++ b/gentianhoist/entry/_calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterator
 
 import msgspec
@@ -19,6 +20,9 @@
 from gentianhoist.wire import CallOutcome, CallReply, CallRequest
 
 _ANSWER_MARGIN_S = 0.25
+_SETTLE_S = 2.0
+# The store already says what became of these keys.
+_SETTLED_KINDS = (ErrorKind.KEY_VOIDED, ErrorKind.KEY_REUSED)
 
 
 class CallDispatcher:
@@ -119,16 +123,32 @@
                 if reply.not_run is NotRun.UNKNOWN:
                     sent = True
                     break
-                if not refusal.answer.retryable:
+                if refusal.kind in _SETTLED_KINDS:
                     raise refusal
+                if not refusal.answer.retryable:
+                    break
         self._events.record(
             EventKind.CALL_VOIDED, f"settled: {refusal.message}", request.request_id
         )
-        reply = await self._settler.settle(request, refusal, sent=sent)
+        reply = await self._settle(request, refusal, sent)
         if reply.outcome is not None:
             return reply.outcome
         raise _as_error(reply)
 
+    async def _settle(
+        self, request: CallRequest, refusal: HoistError, sent: bool
+    ) -> CallReply:
+        try:
+            async with asyncio.timeout(_SETTLE_S):
+                return await self._settler.settle(request, refusal, sent=sent)
+        except TimeoutError:
+            return CallReply(
+                None,
+                ErrorKind.OUTCOME_UNKNOWN,
+                f"{refusal.message}; the store doesn't answer",
+                NotRun.UNKNOWN,
+            )
+
     async def _admission(self) -> HoistError | None:
         try:
             await self._allowance.spend(0)
