--- a/gentianhoist/calls/_executor.py
+++ b/gentianhoist/calls/_executor.py
@@ -38,6 +38,7 @@
 _FREE_TRIES = 2
 _RECORD_PAUSE_S = 0.25
 _LATE_ANSWER_S = 600.0
+_CLOSE_S = 1.0
 _REMEMBERED_CALLS = 10_000
 
 
@@ -103,19 +104,18 @@
         """The writer of the rows."""
         return self._commits
 
-    @property
-    def in_progress(self) -> int:
-        """Calls that are not answered yet."""
-        return len(self._tasks)
-
     async def start(self) -> None:
         """Start writing rows."""
         await self._commits.start()
 
     async def close(self) -> None:
-        """Let calls in progress end, then stop."""
-        if self._tasks:
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+        """Stop, with a moment for outcomes that are being recorded."""
+        tasks = list(self._tasks)
+        if tasks:
+            await asyncio.wait(tasks, timeout=_CLOSE_S)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self._commits.close()
 
     def knows(self, request: CallRequest) -> bool:
--- a/gentianhoist/sidecar/_service_runner.py
+++ b/gentianhoist/sidecar/_service_runner.py
@@ -44,6 +44,7 @@
         self._slow_start = slow_start
         self._events = events
         self._in_progress = 0
+        self._joined = 0
         self._reachable = False
         self._probe: asyncio.Task[None] | None = None
         self._executor = CallExecutor(
@@ -57,8 +58,8 @@
 
     @property
     def in_progress(self) -> int:
-        """Calls that are not answered yet."""
-        return max(self._in_progress, self._executor.in_progress)
+        """Calls whose callers still wait."""
+        return self._in_progress + self._joined
 
     @property
     def limit(self) -> int:
@@ -77,7 +78,7 @@
         self._probe = asyncio.create_task(self._watch())
 
     async def close(self) -> None:
-        """Let calls in progress end, then stop."""
+        """Stop at once."""
         if self._probe is not None:
             self._probe.cancel()
         await self._executor.close()
@@ -90,7 +91,7 @@
     async def call(self, request: CallRequest) -> CallReply:
         """Run one call, unless the service bears no more."""
         if self._executor.knows(request):
-            return await self._executor.call(request)
+            return await self._join(request)
         if self._in_progress >= self._slow_start.limit_streams:
             return CallReply(
                 None,
@@ -111,6 +112,14 @@
             self._slow_start.overloaded()
         return reply
 
+    async def _join(self, request: CallRequest) -> CallReply:
+        """Answer a repeat, which costs the service nothing."""
+        self._joined += 1
+        try:
+            return await self._executor.call(request)
+        finally:
+            self._joined -= 1
+
     def _executed(self, request_id: str) -> None:
         self._events.record(
             EventKind.CALL_EXECUTED, "handed to the backend server", request_id
--- /dev/null
+++ b/tests/configuration/test_log.py
@@ -0,0 +1,262 @@
+"""The configuration's log: races, lost answers, and copies that never go back."""
+
+import asyncio
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from gentianhoist.configuration import (
+    ChangeRecord,
+    Configuration,
+    ConfigurationLog,
+    ConfigurationReplica,
+    Confirmation,
+    DeletePreset,
+    PeerEvidence,
+    Preset,
+    PresetSwitch,
+    PutPreset,
+    SetInstance,
+    SetWeight,
+    SetZone,
+    SwitchPreset,
+    apply_record,
+)
+from gentianhoist.exceptions import ErrorKind, HoistError
+from gentianhoist.standins import MemoryTable, TableModel
+from gentianhoist.store import StoreInDoubt, StoreUnavailable
+from tests.instant_loop import InstantLoop
+
+_PROCESSES = 3
+
+
+def _first() -> Configuration:
+    return Configuration(
+        1,
+        ("zone-a", "zone-b"),
+        {
+            "ordinary": Preset("ordinary", 100, 1_000),
+            "peak": Preset("peak", 400, 4_000),
+            "spare": Preset("spare", 5, 50),
+        },
+        (PresetSwitch("ordinary", 0.0),),
+        frozenset(),
+        frozenset(),
+        {"club": 1.0},
+    )
+
+
+def _record(change_id: str, *changes) -> ChangeRecord:
+    return ChangeRecord(0, change_id, f"op-{change_id}", 10.0, changes)
+
+
+@pytest.fixture
+def table() -> MemoryTable:
+    return MemoryTable()
+
+
+@pytest.fixture
+async def log(table: MemoryTable) -> ConfigurationLog:
+    made = ConfigurationLog(table)
+    await made.create(_first())
+    return made
+
+
+async def test_of_two_racing_operators_one_wins_and_is_named(log):
+    change = SetZone("zone-a", True)
+    await log.accept(_record("x", change), expected_version=1)
+    with pytest.raises(HoistError) as caught:
+        await log.accept(_record("y", change), expected_version=1)
+    assert caught.value.kind is ErrorKind.CONFIGURATION_CONFLICT
+    assert "op-x" in caught.value.message
+    assert "version 2" in caught.value.message
+
+
+async def test_same_change_is_accepted_once(log):
+    first, _ = await log.accept(_record("x", SetInstance("e1", True)), 0)
+    again, configuration = await log.accept(_record("x", SetInstance("e1", True)), 0)
+    assert first == again
+    assert configuration.version == 2
+
+
+@pytest.mark.parametrize("later_change", [False, True])
+async def test_lost_answer_is_settled(log, table, later_change):
+    table.lose_answers = 1
+    record, _ = await log.accept(_record("x", SetInstance("e1", True)), 1)
+    assert record.version == 2
+    if later_change:
+        await log.accept(_record("y", SetInstance("e2", True)), 2)
+    again, _ = await log.accept(_record("x", SetInstance("e1", True)), 1)
+    assert again.version == 2
+
+
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ([SwitchPreset("absent")], "preset"),
+        ([DeletePreset("ordinary")], "preset"),
+        ([DeletePreset("absent")], "preset"),
+        ([PutPreset("ordinary", 1, 1)], "preset"),
+        ([PutPreset("new", 0, 1)], "requests_per_minute"),
+        ([PutPreset("new", 1, 0)], "tokens_per_minute"),
+        ([SetZone("zone-c", True)], "availability_zone"),
+        (
+            [SetZone("zone-a", True), SetZone("zone-b", True)],
+            "availability_zone",
+        ),
+        ([SetWeight("absent", 1.0)], "organisation"),
+        ([SetWeight("club", 0.0)], "weight"),
+        ([SwitchPreset("peak"), DeletePreset("peak")], "preset"),
+    ],
+)
+async def test_unsound_change_is_rejected_naming_the_field(log, changes, field):
+    with pytest.raises(ExceptionGroup) as caught:
+        await log.accept(_record("x", *changes), 0)
+    assert [error.field for error in caught.value.exceptions] == [field]
+    assert await log.head_version() == 1
+
+
+def test_every_reason_is_told():
+    record = _record("x", SwitchPreset("absent"), SetWeight("club", -1.0))
+    with pytest.raises(ExceptionGroup) as caught:
+        apply_record(_first(), record)
+    assert len(caught.value.exceptions) == 2
+
+
+def test_exactly_one_preset_at_any_time():
+    configuration = _first()
+    for version, (name, at_s) in enumerate([("peak", 10.0), ("spare", 20.0)], 2):
+        record = ChangeRecord(version, "c", "op", at_s, (SwitchPreset(name),))
+        configuration = apply_record(configuration, record)
+    names = [configuration.preset_in_force(wall_s).name for wall_s in (9.9, 10, 20)]
+    assert names == ["ordinary", "peak", "spare"]
+    recent = configuration.terms(25.0, 0.25).recent
+    assert {preset.name for preset in recent} == {"ordinary", "peak", "spare"}
+
+
+class TestConfirmation:
+    def test_store_reading_confirms_for_a_while(self):
+        confirmation = Confirmation(1.5)
+        confirmation.store_read(10.0)
+        assert confirmation.confirmed(11.5, version=1)
+        assert not confirmation.confirmed(11.6, version=1)
+
+    def test_every_entry_must_speak(self):
+        confirmation = Confirmation(1.5)
+        confirmation.expect("b")
+        confirmation.heard("a", PeerEvidence(10.0, 1, False))
+        assert not confirmation.confirmed(10.1, version=1)
+        confirmation.heard("b", PeerEvidence(10.0, 1, False))
+        assert confirmation.confirmed(10.1, version=1)
+
+    @pytest.mark.parametrize(
+        "evidence", [PeerEvidence(10.0, 2, False), PeerEvidence(10.0, 1, True)]
+    )
+    def test_entry_that_may_know_more_does_not_confirm(self, evidence):
+        confirmation = Confirmation(1.5)
+        confirmation.heard("a", evidence)
+        assert not confirmation.confirmed(10.1, version=1)
+
+    def test_alone_without_the_store_nothing_is_confirmed(self):
+        assert not Confirmation(1.5).confirmed(0.0, version=1)
+
+
+class ForwardOnly(RuleBasedStateMachine):
+    """Copies of the configuration, with messages lost, crossed and repeated."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.loop = InstantLoop()
+        self.table = MemoryTable(TableModel())
+        self.log = ConfigurationLog(self.table)
+        self.loop.run(self.log.create(_first()))
+        self.replicas = [ConfigurationReplica() for _ in range(_PROCESSES)]
+        self.versions = [0] * _PROCESSES
+        self.told: dict[str, int] = {}
+        self.updates: list = []
+        self.changes = 0
+
+    @rule(
+        expected=st.sampled_from([0, 1, 2, 3]),
+        repeat=st.booleans(),
+        fault=st.sampled_from(["", "", "lose", "drop", "lose_all", "down"]),
+    )
+    def accept(self, expected: int, repeat: bool, fault: str) -> None:
+        self.changes += not repeat
+        self.table.lose_answers = {"lose": 1, "lose_all": 9}.get(fault, 0)
+        self.table.drop_writes = 1 if fault == "drop" else 0
+        self.table.down = fault == "down"
+        change_id = f"c{self.changes}"
+        change = SetInstance(f"e{self.changes % 4}", self.changes % 3 > 0)
+        try:
+            record, _ = self.loop.run(
+                self.log.accept(_record(change_id, change), expected)
+            )
+        except (HoistError, StoreUnavailable, StoreInDoubt):
+            pass
+        else:
+            assert self.told.setdefault(change_id, record.version) == record.version
+        self.table.lose_answers = 0
+        self.table.down = False
+
+    @rule(index=st.integers(0, _PROCESSES - 1), snapshot=st.booleans())
+    def read(self, index: int, snapshot: bool) -> None:
+        replica = self.replicas[index]
+        if snapshot or not replica.version:
+            replica.replace(self.loop.run(self.log.load()))
+            return
+        head = self.loop.run(self.log.head_version())
+        for record in self.loop.run(self.log.changes(replica.version, head)):
+            replica.apply(record)
+
+    @rule(of=st.integers(0, _PROCESSES - 1), version=st.integers(0, 6))
+    def send(self, of: int, version: int) -> None:
+        update = self.replicas[of].update_for(version)
+        if update is not None:
+            self.updates.append(update)
+
+    @rule(to=st.integers(0, _PROCESSES - 1), which=st.integers(0, 50))
+    def receive(self, to: int, which: int) -> None:
+        if self.updates:
+            self.replicas[to].take(self.updates[which % len(self.updates)])
+
+    @rule(index=st.integers(0, _PROCESSES - 1))
+    def restart(self, index: int) -> None:
+        self.replicas[index] = ConfigurationReplica()
+        self.versions[index] = 0
+
+    @invariant()
+    def copies_never_go_back_and_agree(self) -> None:
+        if not hasattr(self, "replicas"):
+            return
+        by_version: dict[int, Configuration] = {}
+        for index, replica in enumerate(self.replicas):
+            assert replica.version >= self.versions[index]
+            self.versions[index] = replica.version
+            if replica.current is not None:
+                agreed = by_version.setdefault(replica.version, replica.current)
+                assert agreed == replica.current
+
+    @invariant()
+    def accepted_changes_have_distinct_versions(self) -> None:
+        if hasattr(self, "told"):
+            assert len(set(self.told.values())) == len(self.told)
+
+    def teardown(self) -> None:
+        if hasattr(self, "loop"):
+            self.loop.shut()
+
+
+TestForwardOnly = ForwardOnly.TestCase
+TestForwardOnly.settings = settings(max_examples=300, stateful_step_count=25)
+
+
+async def test_old_history_is_cleaned_up(log, table, monkeypatch):
+    monkeypatch.setattr("gentianhoist.configuration._log._HISTORY_VERSIONS", 5)
+    for number in range(12):
+        await log.accept(_record(f"c{number}", SetInstance("e1", number % 2 == 0)), 0)
+    assert len(table.model.rows("configuration/change/", 100)) <= 6
+    assert len(table.model.rows("configuration/id/", 100)) <= 6
+    await asyncio.sleep(0)
