Run prompts larger than one engine's memory on a gang of engines

Cause: a prompt of more than one engine's KV memory was refused. Change: the entry reserves memory on as many engines as the prompt needs, all or none, in the order of their names and without waiting; each reservation has a lease in the sidecar's ledger. Parts are prefilled one after another, exported to the object store, and recovered on another engine by import when one dies; the last part generates.

Found on the way: the export of a lost part stayed in the object store for good; now the reservation that imports it owns it. A repeat that joined an attempt begun while the store was out was refused though the store was back; it now begins again.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments on real processes over loopback, apart from the tests."""
--- /dev/null
+++ b/benchmarks/_lengths.py
@@ -0,0 +1,119 @@
+"""Short requests beside long ones: ours against baselines, in one run."""
+
+from __future__ import annotations
+
+import random
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import yaml
+
+from benchmarks._figures import RESULTS, Figures
+from benchmarks._load import (
+    Answer,
+    LoadGenerator,
+    Prompt,
+    arrivals,
+    log_uniform,
+    percentile_s,
+)
+from benchmarks._processes import Deployment, Shape
+
+_EXPERIMENT = Path(__file__).parent / "experiments" / "lengths.yaml"
+_SAMPLES = RESULTS.parent / "lengths.json"
+_DEADLINE_S = 110.0
+_FIRST_TOKEN_S = 0.32
+_INTER_TOKEN_S = 0.074
+_SLOWDOWN = 1.10
+
+
+async def measure_lengths(figures: Figures) -> None:
+    """Run the experiment for each policy.
+
+    Args:
+        figures: Where the figures go.
+    """
+    experiment = yaml.safe_load(_EXPERIMENT.read_text())
+    samples = {}
+    for policy, routing in experiment["policies"].items():
+        alone, mixed = await _run(experiment, routing)
+        _report(figures, policy, alone, mixed)
+        samples[policy] = [
+            (answer.prompt.tokens, answer.first_s) for answer in mixed if answer.whole
+        ]
+    _SAMPLES.write_bytes(msgspec.json.encode(samples))
+
+
+async def _run(
+    experiment: dict[str, Any], routing: dict[str, Any]
+) -> tuple[list[Answer], list[Answer]]:
+    rng = random.Random(experiment["seed"])
+    deployment = Deployment(Shape(**experiment["shape"], routing=routing))
+    await deployment.start()
+    try:
+        urls = [deployment.entry_url(index) for index in range(2)]
+        load = LoadGenerator(urls, deployment.caller_headers, _DEADLINE_S)
+        alone = await load.run(_schedule(rng, experiment, "alone_s", ["short"]))
+        mixed = await load.run(_schedule(rng, experiment, "mixed_s", ["short", "long"]))
+    finally:
+        await deployment.close()
+    return alone, mixed
+
+
+def _schedule(
+    rng: random.Random, experiment: dict[str, Any], phase: str, labels: list[str]
+) -> list[Prompt]:
+    schedule = []
+    for label in labels:
+        part = experiment[label]
+        low, high = part["tokens"]
+
+        def _make(due_s: float, label: str = label, low: int = low, high: int = high):
+            tokens = log_uniform(rng, low, high)
+            return Prompt(due_s, tokens, experiment[label]["answer_tokens"], label)
+
+        schedule += arrivals(rng, part["rate_per_s"], experiment[phase], _make)
+    return schedule
+
+
+def _whole(answers: list[Answer], label: str) -> list[Answer]:
+    return [item for item in answers if item.whole and item.prompt.label == label]
+
+
+def _report(
+    figures: Figures, policy: str, alone: list[Answer], mixed: list[Answer]
+) -> None:
+    ours = policy == "ours"
+    before_s = percentile_s((item.first_s for item in _whole(alone, "short")), 95)
+    shorts = _whole(mixed, "short")
+    after_s = percentile_s((item.first_s for item in shorts), 95)
+    longs = _whole(mixed, "long")
+    admitted = [item for item in mixed if item.status == 200]
+    gaps = [gap for item in mixed for gap in item.gaps_s]
+    note = figures.at_most if ours else _without_bound(figures)
+    note(f"short_slowdown_p95_ratio.{policy}", after_s / before_s, "ratio", _SLOWDOWN)
+    note(f"ttft_p95_s.short.{policy}", after_s, "s", _FIRST_TOKEN_S)
+    note(f"inter_token_p95_s.{policy}", percentile_s(gaps, 95), "s", _INTER_TOKEN_S)
+    figures.plain(f"ttft_p95_s.short_alone.{policy}", before_s, "s")
+    figures.plain(
+        f"ttft_p95_s.long.{policy}",
+        percentile_s((item.first_s for item in longs), 95),
+        "s",
+    )
+    finished = sum(item.whole for item in admitted) / len(admitted)
+    offered = [item for item in mixed if item.prompt.label == "long"]
+    figures.plain(
+        f"long_served_ratio.{policy}", len(longs) / max(1, len(offered)), "ratio"
+    )
+    if ours:
+        figures.at_least("admitted_finished_ratio", finished, "ratio", 1.0)
+        late = sum(item.last_s > _DEADLINE_S for item in admitted)
+        figures.at_most("admitted_late", late, "requests", 0)
+
+
+def _without_bound(figures: Figures):
+    def _note(name: str, value: float, unit: str, _bound: float) -> None:
+        figures.plain(name, value, unit)
+
+    return _note
--- a/gentianhoist/backends/_engine.py
+++ b/gentianhoist/backends/_engine.py
@@ -95,6 +95,10 @@
         """
         await self._ask("DELETE", f"/v1/streams/{stream_id}")
 
+    async def export(self, stream_id: str) -> bytes:
+        """The memory that a hold has in the engine. Raises as `cancel` does."""
+        return await self._ask("GET", f"/v1/streams/{stream_id}/kv")
+
     async def streams(self) -> list[str]:
         """Names of all streams. Raises as `cancel` does."""
         data = await self._ask("GET", "/v1/streams")
--- a/gentianhoist/backends/core.py
+++ b/gentianhoist/backends/core.py
@@ -33,6 +33,8 @@
         labels: Names of the prompt's prefixes with their lengths in tokens.
         generated: The answer before ``start``, which the stream goes on from.
         sampling: Sampling parameters, as JSON.
+        hold: Whether the engine keeps the prompt's memory and generates nothing.
+        imported: Whether that memory is imported and not computed.
     """
 
     stream_id: str
@@ -44,6 +46,8 @@
     labels: tuple[tuple[int, int], ...] = ()
     generated: str = ""
     sampling: str = "{}"
+    hold: bool = False
+    imported: bool = False
 
 
 @dataclass(frozen=True)
--- a/gentianhoist/calls/_executor.py
+++ b/gentianhoist/calls/_executor.py
@@ -137,13 +137,19 @@
         call = self._calls.get(key)
         if call is None or self._may_begin_again(call):
             call = self._begin(key, request)
-        elif call.digest != body_digest(request.body):
+            return await self._join(call, request.deadline_left_s)
+        if call.digest != body_digest(request.body):
             return _reply(
                 ErrorKind.KEY_REUSED,
                 "the key was used with another body",
                 NotRun.UNKNOWN,
             )
-        return await self._join(call, request.deadline_left_s)
+        reply = await self._join(call, request.deadline_left_s)
+        # The joined attempt may have begun while the store was still out.
+        if reply.kind is ErrorKind.STORE_UNAVAILABLE and self._may_begin_again(call):
+            call = self._begin(key, request)
+            return await self._join(call, request.deadline_left_s)
+        return reply
 
     async def _send_idempotent(self, request: CallRequest) -> CallReply:
         try:
--- a/gentianhoist/demo/_fleet.py
+++ b/gentianhoist/demo/_fleet.py
@@ -8,9 +8,7 @@
 from contextlib import ExitStack
 from typing import Any, NamedTuple
 
-from gentianhoist.capacity import GatePolicy
 from gentianhoist.entry import Entry
-from gentianhoist.routing import RoutingPolicy
 from gentianhoist.settings import (
     DeploymentSettings,
     EntrySettings,
@@ -42,8 +40,7 @@
         tokens_per_minute: Allowance of the ordinary preset.
         timing: Items of the timing settings that differ from the usual.
         limits: Items of the limit settings that differ from the usual.
-        policy: How entries choose backend servers.
-        gate_policy: Bounds of the gates.
+        routing: Items of the routing settings that differ from the usual.
     """
 
     zones: int = 2
@@ -58,8 +55,7 @@
     tokens_per_minute: int = 600_000_000
     timing: dict[str, float] = {}
     limits: dict[str, float] = {}
-    policy: RoutingPolicy | None = None
-    gate_policy: GatePolicy | None = None
+    routing: dict[str, object] = {}
 
 
 def free_ports(count: int) -> list[int]:
@@ -154,7 +150,7 @@
             "http": {"host": _HOST, "port": self._ports[f"http-{index}"]},
             "grpc": {"host": _HOST, "port": self._ports[f"entry-{index}"]},
         })
-        return Entry(settings, deployment, policy=self.plan.policy)
+        return Entry(settings, deployment)
 
     def make_sidecar(self, index: int) -> Sidecar:
         """A sidecar that isn't started yet, by its place among the sidecars."""
@@ -192,8 +188,7 @@
             "group": group,
             "backend_server_url": url,
         })
-        policy = self.plan.gate_policy if group == "engines" else None
-        return Sidecar(settings, deployment, gate_policy=policy)
+        return Sidecar(settings, deployment)
 
     async def _wait_until_ready(self) -> None:
         async with asyncio.timeout(_START_S):
@@ -269,6 +264,7 @@
             ],
             "timing": plan.timing,
             "limits": plan.limits,
+            "routing": plan.routing,
         }
 
     def _instance(self, name: str, role: str, zone: str, group: str) -> dict[str, Any]:
--- a/gentianhoist/entry/_completions.py
+++ b/gentianhoist/entry/_completions.py
@@ -5,13 +5,15 @@
 import asyncio
 import random
 from collections.abc import AsyncIterator
-from typing import NamedTuple
+from contextlib import aclosing
 
 from gentianhoist.capacity import classify
 from gentianhoist.clocks import Clock
-from gentianhoist.configuration import ConfigurationReplica, Identity
+from gentianhoist.configuration import Identity
 from gentianhoist.entry._allowance import AllowanceKeeper
 from gentianhoist.entry._directory import Directory
+from gentianhoist.entry._gang import GangDispatcher
+from gentianhoist.entry._jobs import CompletionJob, RequestMaker
 from gentianhoist.entry._links import SidecarLink
 from gentianhoist.entry._stream_reader import (
     ConnectionLost,
@@ -22,9 +24,7 @@
 from gentianhoist.exceptions import ErrorKind, HoistError, NotRun
 from gentianhoist.routing import (
     Demand,
-    ExpectedFirstToken,
     LongLane,
-    PrefixMark,
     RetryBudget,
     RoutingPolicy,
     rank_backends,
@@ -32,48 +32,20 @@
 from gentianhoist.settings import DeploymentSettings
 from gentianhoist.streams import StreamAssembler
 from gentianhoist.telemetry import Metrics
-from gentianhoist.wire import RunRequest
 
 _RESUMES = 3
 _RESUME_PAUSE_S = 0.05
 _FINAL_KINDS = (ErrorKind.DEADLINE_EXCEEDED, ErrorKind.PROMPT_TOO_LONG)
 
 
-class CompletionJob(NamedTuple):
-    """One generation that a caller wants.
-
-    Attributes:
-        request_id: The request.
-        model: Name of the model.
-        organisation: Who asks.
-        prompt: The prompt.
-        prompt_tokens: Its tokens.
-        marks: Its prefixes.
-        max_tokens: Tokens of the answer at the most.
-        deadline_s: When it must be done, on the entry's clock.
-        priority: 0 for usual work, 1 for work that can wait.
-        sampling: Sampling parameters, as JSON.
-    """
-
-    request_id: str
-    model: str
-    organisation: str
-    prompt: str
-    prompt_tokens: int
-    marks: tuple[PrefixMark, ...]
-    max_tokens: int
-    deadline_s: float
-    priority: int = 0
-    sampling: str = "{}"
-
-
 class CompletionDispatcher:
     """Runs generations for callers.
 
     Args:
         identity: Who this process is.
         deployment: The deployment's settings.
-        configuration: This process's copy of the configuration.
+        requests: Makes messages to sidecars.
+        gang: Runs what is larger than one engine's memory.
         directory: Knows the backend servers.
         allowance: Decides whether this minute has room.
         clock: This machine's clocks.
@@ -86,23 +58,24 @@
         self,
         identity: Identity,
         deployment: DeploymentSettings,
-        configuration: ConfigurationReplica,
+        requests: RequestMaker,
+        gang: GangDispatcher,
         directory: Directory,
         allowance: AllowanceKeeper,
         clock: Clock,
         events: EventRing,
         metrics: Metrics,
-        policy: RoutingPolicy | None = None,
+        policy: RoutingPolicy,
     ) -> None:
-        self._identity = identity
         self._deployment = deployment
-        self._configuration = configuration
+        self._requests = requests
+        self._gang = gang
         self._directory = directory
         self._allowance = allowance
         self._clock = clock
         self._events = events
         self._metrics = metrics
-        self._policy = policy or ExpectedFirstToken()
+        self._policy = policy
         self._rng = random.Random(identity.incarnation)
         self._retries = RetryBudget(deployment.limits.retry_ratio)
         self._lanes: dict[str, LongLane] = {}
@@ -120,6 +93,14 @@
             HoistError: If it is refused or fails.
         """
         await self._allowance.spend(job.prompt_tokens + job.max_tokens)
+        group = self._gang.group_for(job)
+        runs = self._run_alone(job) if group is None else self._gang.run(job, group)
+        async with aclosing(runs) as tokens:
+            async for texts in tokens:
+                yield texts
+
+    async def _run_alone(self, job: CompletionJob) -> AsyncIterator[tuple[str, ...]]:
+        """Run one generation on one engine at a time."""
         self._retries.earn()
         assembler = StreamAssembler(job.request_id)
         failures: list[HoistError] = []
@@ -207,7 +188,13 @@
         link.view.outstanding += 1
         try:
             for resumes in range(_RESUMES + 1):
-                request = self._request(assembler, job, resumes > 0)
+                request = self._requests.make(
+                    job,
+                    assembler.attempt,
+                    assembler.text,
+                    assembler.next_offset,
+                    resume=resumes > 0,
+                )
                 stub = link.stub
                 try:
                     async for texts in read_stream(
@@ -241,30 +228,6 @@
             job.request_id,
         )
 
-    def _request(
-        self, assembler: StreamAssembler, job: CompletionJob, resume: bool
-    ) -> RunRequest:
-        configuration = self._configuration.current
-        weights = configuration.weights if configuration else {}
-        return RunRequest(
-            stamp=self._identity.stamp(),
-            request_id=job.request_id,
-            attempt=assembler.attempt,
-            offset=assembler.next_offset,
-            resume=resume,
-            model=job.model,
-            organisation=job.organisation,
-            weight=weights.get(job.organisation, 1.0),
-            prompt="" if resume else job.prompt,
-            prompt_tokens=job.prompt_tokens,
-            prefix_marks=tuple((mark.name, mark.tokens) for mark in job.marks),
-            generated="" if resume else assembler.text,
-            max_tokens=job.max_tokens,
-            priority=job.priority,
-            sampling=job.sampling,
-            deadline_left_s=job.deadline_s - self._clock.elapsed_s(),
-        )
-
 
 def _usefulness(error: HoistError) -> tuple[bool, float]:
     """The refusal that tells a caller most: one that says when to come back."""
--- a/gentianhoist/entry/_http.py
+++ b/gentianhoist/entry/_http.py
@@ -18,7 +18,8 @@
 from gentianhoist.clocks import Clock
 from gentianhoist.configuration import Identity
 from gentianhoist.entry._calls import CallDispatcher
-from gentianhoist.entry._completions import CompletionDispatcher, CompletionJob
+from gentianhoist.entry._completions import CompletionDispatcher
+from gentianhoist.entry._jobs import CompletionJob
 from gentianhoist.entry._keys import identify
 from gentianhoist.entry._openai import (
     AnswerShape,
--- a/gentianhoist/entry/core.py
+++ b/gentianhoist/entry/core.py
@@ -20,14 +20,26 @@
 from gentianhoist.entry._calls import CallDispatcher
 from gentianhoist.entry._completions import CompletionDispatcher
 from gentianhoist.entry._directory import Directory
+from gentianhoist.entry._gang import GangDispatcher
 from gentianhoist.entry._grpc import EntryGrpc
 from gentianhoist.entry._http import HttpApi
+from gentianhoist.entry._jobs import RequestMaker
 from gentianhoist.entry._keeper import ConfigurationKeeper
 from gentianhoist.entry._operators import OperatorsApi
 from gentianhoist.events import EventKind, EventRing
 from gentianhoist.membership import Membership, member_from_settings
-from gentianhoist.routing import RoutingPolicy
-from gentianhoist.settings import DeploymentSettings, EntrySettings
+from gentianhoist.routing import (
+    ExpectedFirstToken,
+    LeastOutstanding,
+    RoundRobin,
+    RoutingPolicy,
+)
+from gentianhoist.settings import (
+    DeploymentSettings,
+    EntrySettings,
+    RoutingPolicyName,
+    RoutingSettings,
+)
 from gentianhoist.store import HttpPlatform
 from gentianhoist.telemetry import Metrics
 from gentianhoist.wire import MsgpackCodec
@@ -47,7 +59,6 @@
         settings: Its own settings.
         deployment: The deployment's.
         clock: This machine's clocks.
-        policy: How to choose backend servers, if not the usual way.
     """
 
     def __init__(
@@ -55,7 +66,6 @@
         settings: EntrySettings,
         deployment: DeploymentSettings,
         clock: Clock | None = None,
-        policy: RoutingPolicy | None = None,
     ) -> None:
         self._settings = settings
         self._deployment = deployment
@@ -74,7 +84,7 @@
         )
         self._commits = GroupCommit(self._platform)
         self._make_keepers()
-        self._make_services(policy)
+        self._make_services()
 
     def _make_keepers(self) -> None:
         timing = self._deployment.timing
@@ -120,17 +130,27 @@
             self._events,
         )
 
-    def _make_services(self, policy: RoutingPolicy | None) -> None:
+    def _make_services(self) -> None:
+        requests = RequestMaker(self._identity, self._replica, self._clock)
+        gang = GangDispatcher(
+            self._identity,
+            self._deployment,
+            self._directory,
+            requests,
+            self._clock,
+            self._events,
+        )
         completions = CompletionDispatcher(
             self._identity,
             self._deployment,
-            self._replica,
+            requests,
+            gang,
             self._directory,
             self._allowance,
             self._clock,
             self._events,
             self._metrics,
-            policy,
+            _policy(self._deployment.routing),
         )
         settler = CallSettler(self._commits, self._clock, self._settings.instance)
         calls = CallDispatcher(
@@ -254,3 +274,13 @@
 
     def _is_ready(self) -> bool:
         return self._replica.current is not None
+
+
+def _policy(settings: RoutingSettings) -> RoutingPolicy:
+    match settings.policy:
+        case RoutingPolicyName.EXPECTED_FIRST_TOKEN:
+            return ExpectedFirstToken(lanes=settings.lanes)
+        case RoutingPolicyName.ROUND_ROBIN:
+            return RoundRobin()
+        case RoutingPolicyName.LEAST_OUTSTANDING:
+            return LeastOutstanding()
--- a/gentianhoist/routing/_lanes.py
+++ b/gentianhoist/routing/_lanes.py
@@ -41,7 +41,7 @@
         most = int(len(known) * _MAX_PART)
         if most < 1:
             return frozenset()
-        wanted = max(1, math.ceil(sum(view.load.long_streams for view in known) / 2))
+        wanted = max(1, sum(view.load.long_streams for view in known))
         elapsed_s = 0.0 if self._updated_s is None else now_s - self._updated_s
         self._updated_s = now_s
         self._size = max(
--- a/gentianhoist/routing/core.py
+++ b/gentianhoist/routing/core.py
@@ -17,6 +17,8 @@
     "rank_backends",
 ]
 
+# Entries that see the same loads must not all choose the same backend server.
+_JITTER_RATIO = 1.25
 _LONG_OUTSIDE_LANE_S = 20.0
 _MEDIUM_OUTSIDE_LANE_S = 0.5
 _SHORT_INSIDE_LANE_S = 0.3
@@ -78,6 +80,7 @@
             )
             costs = {
                 view.name: expected_first_token_s(view, demand, now_s)
+                * rng.uniform(1.0, _JITTER_RATIO)
                 + (_lane_cost_s(view, demand, lane) if lanes else 0.0)
                 for view in sample
             }
--- a/gentianhoist/settings/__init__.py
+++ b/gentianhoist/settings/__init__.py
@@ -23,6 +23,8 @@
     PlatformSettings,
     PresetSettings,
     Role,
+    RoutingPolicyName,
+    RoutingSettings,
     SidecarSettings,
     TimingSettings,
 )
@@ -43,6 +45,8 @@
     "PlatformSettings",
     "PresetSettings",
     "Role",
+    "RoutingPolicyName",
+    "RoutingSettings",
     "SidecarSettings",
     "TimingSettings",
     "describe_settings",
--- a/gentianhoist/settings/core.py
+++ b/gentianhoist/settings/core.py
@@ -28,6 +28,8 @@
     "PlatformSettings",
     "PresetSettings",
     "Role",
+    "RoutingPolicyName",
+    "RoutingSettings",
     "SidecarSettings",
     "TimingSettings",
 ]
@@ -264,6 +266,27 @@
     )
 
 
+class RoutingPolicyName(StrEnum):
+    """How entries choose backend servers."""
+
+    EXPECTED_FIRST_TOKEN = "expected_first_token"
+    ROUND_ROBIN = "round_robin"
+    LEAST_OUTSTANDING = "least_outstanding"
+
+
+class RoutingSettings(_Settings):
+    """How work is placed; the other policies are there to compare with."""
+
+    policy: RoutingPolicyName = Field(
+        RoutingPolicyName.EXPECTED_FIRST_TOKEN,
+        description="How entries choose backend servers.",
+    )
+    lanes: bool = Field(True, description="Whether engines are kept for long work.")
+    classes: bool = Field(
+        True, description="Whether sidecars order work by its length class."
+    )
+
+
 class DeploymentSettings(_Settings):
     """What all processes of one user's deployment share."""
 
@@ -295,6 +318,9 @@
     limits: LimitSettings = Field(
         default_factory=LimitSettings, description="Bounds on input and work."
     )
+    routing: RoutingSettings = Field(
+        default_factory=RoutingSettings, description="How work is placed."
+    )
 
     @model_validator(mode="after")
     def _consistent(self) -> DeploymentSettings:
--- a/gentianhoist/sidecar/_engine_runner.py
+++ b/gentianhoist/sidecar/_engine_runner.py
@@ -29,6 +29,8 @@
 from gentianhoist.routing import CacheMap, PrefixMark
 from gentianhoist.settings import LimitSettings, TimingSettings
 from gentianhoist.sidecar._attempt import Attempt, AttemptState, refused, stream_id
+from gentianhoist.sidecar._holds import HoldKeeper
+from gentianhoist.store import HttpPlatform
 from gentianhoist.wire import (
     Admitted,
     Beat,
@@ -52,7 +54,8 @@
     """Everything that a sidecar does with its engine.
 
     Args:
-        client: Client of the engine.
+        url: Base URL of the engine.
+        platform: Has exported memory.
         gate: Decides what starts.
         limits: Bounds.
         timing: Periods.
@@ -63,6 +66,7 @@
     def __init__(
         self,
         url: str,
+        platform: HttpPlatform,
         gate: EngineGate,
         limits: LimitSettings,
         timing: TimingSettings,
@@ -83,14 +87,21 @@
         self._strays: set[str] = set()
         self._tasks: list[asyncio.Task[None]] = []
         self._reachable = False
+        self._holds = HoldKeeper(gate, platform, clock, self._add_stray)
+
+    @property
+    def holds(self) -> HoldKeeper:
+        """Reservations of the engine's memory."""
+        return self._holds
 
     @property
     def in_progress(self) -> int:
-        """Attempts that have not ended."""
-        return sum(
+        """Attempts that have not ended, and reservations."""
+        attempts = sum(
             attempt.state is not AttemptState.ENDED
             for attempt in self._attempts.values()
         )
+        return attempts + len(self._holds)
 
     @property
     def ready(self) -> bool:
@@ -150,6 +161,13 @@
         """Ask for admission of a new attempt."""
         if not self._reachable:
             return refused(request, ErrorKind.NOT_READY, "the engine doesn't answer")
+        if request.hold and not self._holds.stands(request.hold):
+            return refused(
+                request,
+                ErrorKind.BACKEND_FAILED,
+                "the reservation is lost",
+                NotRun.UNKNOWN,
+            )
         if stream_id(request) in self._attempts:
             return refused(
                 request, ErrorKind.INVALID_REQUEST, "attempt exists", NotRun.UNKNOWN
@@ -225,13 +243,15 @@
         work_class = classify(
             uncached, self._limits.short_tokens, self._limits.long_tokens
         )
+        # The memory of work on a reservation is counted there.
+        reserved = self._holds.stands(request.hold)
         return Work(
             stream_id(request),
             request.organisation,
             request.weight,
-            prompt_tokens,
+            0 if reserved else prompt_tokens,
             uncached,
-            request.max_tokens - generated,
+            0 if reserved else request.max_tokens - generated,
             work_class,
             now_s,
             now_s + request.deadline_left_s,
@@ -244,17 +264,24 @@
 
     async def _run(self, attempt: Attempt) -> None:
         request = attempt.request
+        imported = bool(request.imported_object) and await self._holds.can_import(
+            request.hold, request.imported_object
+        )
         order = StreamOrder(
             attempt.stream_id,
             request.prompt,
-            attempt.work.prompt_tokens,
+            request.prompt_tokens + request.offset,
             request.max_tokens,
             request.offset,
-            int(attempt.work.work_class) + request.priority,
+            self._priority(attempt.work),
             tuple((mark.name, mark.tokens) for mark in _marks(request)),
             request.generated,
             request.sampling,
+            request.keep,
+            imported,
         )
+        if request.keep:
+            self._holds.attach(request.hold, attempt.stream_id)
         stream = self._client.run(order)
         try:
             for _ in range(_ENGINE_RESUMES + 1):
@@ -272,6 +299,10 @@
         finally:
             self._ended(attempt)
 
+    def _priority(self, work: Work) -> int:
+        rank = int(work.work_class) if self._gate.policy.classes else 0
+        return rank + work.priority
+
     async def _read(self, attempt: Attempt, stream: EngineStream) -> bool:
         """Read until the attempt ends; False if the stream should be resumed."""
         try:
@@ -280,7 +311,7 @@
                     case EngineTokens(texts=texts):
                         self._take(attempt, texts)
                     case EngineEnded(reason="length"):
-                        attempt.finish("length")
+                        await self._finish(attempt)
                         return True
                     case EngineEnded(reason=reason):
                         attempt.fail(ErrorKind.BACKEND_FAILED, reason, NotRun.UNKNOWN)
@@ -292,6 +323,16 @@
             return False
         return False
 
+    async def _finish(self, attempt: Attempt) -> None:
+        request = attempt.request
+        if request.keep:
+            now_s = self._clock.elapsed_s()
+            self._gate.first_token(attempt.work.request_id, now_s)
+            with contextlib.suppress(EngineBroken):
+                data = await self._client.export(attempt.stream_id)
+                await self._holds.export(request.hold, data)
+        attempt.finish("length")
+
     def _take(self, attempt: Attempt, texts: list[str]) -> None:
         if attempt.buffer.end_offset == attempt.request.offset:
             self._gate.first_token(attempt.work.request_id, self._clock.elapsed_s())
@@ -334,10 +375,13 @@
         if attempt.task is not None:
             attempt.task.cancel()
         self._ended(attempt)
-        if running:
-            # The engine has its memory until it no longer lists the stream.
-            self._strays.add(attempt.stream_id)
-            self._gate.hold(attempt.stream_id, attempt.work.kv_tokens)
+        if running and not self._holds.owns_stream(attempt.stream_id):
+            self._add_stray(attempt.stream_id, attempt.work.kv_tokens)
+
+    def _add_stray(self, name: str, tokens: int) -> None:
+        """The engine has the stream's memory until it no longer lists the stream."""
+        self._strays.add(name)
+        self._gate.hold(name, tokens)
 
     async def _tick(self) -> None:
         while True:
@@ -349,6 +393,7 @@
                 )
             for attempt in list(self._attempts.values()):
                 self._check(attempt, now_s)
+            self._holds.end_leases()
             self._launch_startable(now_s)
 
     def _check(self, attempt: Attempt, now_s: float) -> None:
@@ -392,6 +437,8 @@
         self._strays |= {name for name in streams if not self._owned(name)}
 
     def _owned(self, name: str) -> bool:
+        if self._holds.owns_stream(name):
+            return True
         attempt = self._attempts.get(name)
         return attempt is not None and attempt.state is AttemptState.RUNNING
 
@@ -412,6 +459,7 @@
             return
         self._boot_id = boot_id
         self._gate.turned_cold()
+        self._holds.lost()
         self._cache.clear()
         self._cache_end += 1 + len(self._cache_marks)
         self._cache_marks = []
--- a/gentianhoist/sidecar/_grpc.py
+++ b/gentianhoist/sidecar/_grpc.py
@@ -23,6 +23,9 @@
     Frame,
     Heartbeat,
     HeartbeatReply,
+    HoldAction,
+    HoldReply,
+    HoldRequest,
     Refused,
     RunMessage,
     RunRequest,
@@ -116,6 +119,27 @@
         self._identity.received(request.stamp)
         await stream.send_message(await self._call(request))
 
+    async def hold(self, stream: Stream[HoldRequest, HoldReply]) -> None:
+        """Reserve memory, renew the reservation or give it back."""
+        request = await stream.recv_message()
+        if request is not None:
+            self._identity.received(request.stamp)
+            await stream.send_message(self._hold(request))
+
+    def _hold(self, request: HoldRequest) -> HoldReply:
+        if self._engine is None:
+            return HoldReply(False, ErrorKind.UNKNOWN_MODEL, "a service stands here")
+        match request.action:
+            case HoldAction.RESERVE:
+                refusal = self._closed()
+                if refusal is not None:
+                    return HoldReply(False, refusal, "no new work here")
+                return self._engine.holds.reserve(request)
+            case HoldAction.RENEW:
+                return self._engine.holds.renew(request)
+            case HoldAction.RELEASE:
+                return self._engine.holds.release(request.hold)
+
     async def _call(self, request: CallRequest) -> CallReply:
         if self._service is None:
             return CallReply(None, ErrorKind.UNKNOWN_SERVICE, "an engine stands here")
@@ -131,7 +155,8 @@
         if request.resume:
             return self._resumed(request, self._engine)
         refusal = self._closed()
-        if refusal is not None:
+        # Work on a reservation was admitted when the memory was reserved.
+        if refusal is not None and not self._engine.holds.stands(request.hold):
             return refused(request, refusal, "no new work here")
         return self._engine.admit(request)
 
--- a/gentianhoist/sidecar/core.py
+++ b/gentianhoist/sidecar/core.py
@@ -41,7 +41,6 @@
         settings: Its own settings.
         deployment: The deployment's.
         clock: This machine's clocks.
-        gate_policy: Bounds of the engine's gate, if not the usual ones.
     """
 
     def __init__(
@@ -49,7 +48,6 @@
         settings: SidecarSettings,
         deployment: DeploymentSettings,
         clock: Clock | None = None,
-        gate_policy: GatePolicy | None = None,
     ) -> None:
         self._settings = settings
         self._deployment = deployment
@@ -70,7 +68,7 @@
         self._engine: EngineRunner | None = None
         self._service: ServiceRunner | None = None
         if group.kind is BackendKind.ENGINE:
-            self._engine = self._make_engine_runner(group, gate_policy)
+            self._engine = self._make_engine_runner(group)
         else:
             self._service = self._make_service_runner(group)
         self._grpc = SidecarGrpc(
@@ -146,16 +144,17 @@
         runner = self._engine or self._service
         return runner.in_progress if runner is not None else 0
 
-    def _make_engine_runner(
-        self, group: GroupSettings, policy: GatePolicy | None
-    ) -> EngineRunner:
+    def _make_engine_runner(self, group: GroupSettings) -> EngineRunner:
         gate = EngineGate(
-            policy or GatePolicy(group.kv_capacity_tokens),
+            GatePolicy(
+                group.kv_capacity_tokens, classes=self._deployment.routing.classes
+            ),
             SlowStart(group.cold_streams, group.max_streams),
             SpeedEstimate(group.prefill_tokens_per_s, group.decode_step_s),
         )
         return EngineRunner(
             self._settings.backend_server_url,
+            self._platform,
             gate,
             self._deployment.limits,
             self._deployment.timing,
--- a/gentianhoist/wire/_services.py
+++ b/gentianhoist/wire/_services.py
@@ -19,6 +19,8 @@
     Frame,
     Heartbeat,
     HeartbeatReply,
+    HoldReply,
+    HoldRequest,
     LoanReply,
     LoanRequest,
     RunMessage,
@@ -82,6 +84,7 @@
         return {
             "Run": Handler(self.run, Cardinality.STREAM_STREAM, RunMessage, Frame),
             "Call": Handler(self.call, Cardinality.UNARY_UNARY, CallRequest, CallReply),
+            "Hold": Handler(self.hold, Cardinality.UNARY_UNARY, HoldRequest, HoldReply),
         }
 
     @abc.abstractmethod
@@ -92,6 +95,10 @@
     async def call(self, stream: Stream[CallRequest, CallReply]) -> None:
         """Call the plain service."""
 
+    @abc.abstractmethod
+    async def hold(self, stream: Stream[HoldRequest, HoldReply]) -> None:
+        """Reserve memory, renew the reservation or give it back."""
+
 
 class EntryService(_Service):
     """What an entry answers to its peers."""
@@ -137,6 +144,7 @@
             channel, f"{_PREFIX}.{self._name}/Run", RunMessage, Frame
         )
         self.call = self._unary(channel, "Call", CallRequest, CallReply)
+        self.hold = self._unary(channel, "Hold", HoldRequest, HoldReply)
 
 
 class EntryStub(_Stub):
--- a/gentianhoist/wire/core.py
+++ b/gentianhoist/wire/core.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
+
 import msgspec
 
 from gentianhoist.clocks import HybridTime
@@ -28,6 +30,9 @@
     "Frame",
     "Heartbeat",
     "HeartbeatReply",
+    "HoldAction",
+    "HoldReply",
+    "HoldRequest",
     "Last",
     "LoanReply",
     "LoanRequest",
@@ -79,6 +84,10 @@
         priority: 0 for usual work, 1 for work that can wait.
         sampling: The caller's sampling parameters, as JSON.
         deadline_left_s: Seconds until the deadline.
+        hold: Reservation of memory that the work uses, empty for none.
+        keep: Whether the engine keeps the prompt's memory under the reservation, and
+            generates nothing.
+        imported_object: Object with the prompt's exported memory, empty for none.
     """
 
     stamp: Stamp
@@ -97,6 +106,9 @@
     priority: int
     sampling: str
     deadline_left_s: float
+    hold: str = ""
+    keep: bool = False
+    imported_object: str = ""
 
 
 class Ack(_Message, frozen=True, tag="ack"):
@@ -336,6 +348,46 @@
     spending: Spending | None = None
 
 
+class HoldAction(StrEnum):
+    """What an entry wants of a reservation."""
+
+    RESERVE = "reserve"
+    RENEW = "renew"
+    RELEASE = "release"
+
+
+class HoldRequest(_Message, frozen=True):
+    """Reserve an engine's memory under a lease, renew the lease or give it back.
+
+    Attributes:
+        stamp: What every message carries.
+        action: What is wanted.
+        hold: Name of the reservation.
+        tokens: Memory wanted.
+        lease_s: Seconds that the lease lasts.
+    """
+
+    stamp: Stamp
+    action: HoldAction
+    hold: str
+    tokens: int
+    lease_s: float
+
+
+class HoldReply(_Message, frozen=True):
+    """Whether the reservation stands after the request.
+
+    Attributes:
+        stands: Whether it does.
+        kind: Why it doesn't.
+        message: One sentence for a person.
+    """
+
+    stands: bool
+    kind: ErrorKind | None = None
+    message: str = ""
+
+
 class LoanRequest(_Message, frozen=True):
     """An entry asks another for a part of its allowance.
 
--- a/tests/entry/test_failures.py
+++ b/tests/entry/test_failures.py
@@ -190,7 +190,7 @@
     assert content["error"]["not_run"] == "unknown"
     own_fleet.platform.faults.down = False
     status, content = await _call(own_fleet, key, 1)
-    assert (status, content.get("executions")) == (200, 1)
+    assert (status, content.get("executions")) == (200, 1), content
 
 
 async def test_call_that_is_never_answered_runs_once(own_fleet):
