--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,11 +10,25 @@
 
 import cappa
 
+from benchmarks._calls import measure_calls
+from benchmarks._control import measure_control
 from benchmarks._figures import Figures
 from benchmarks._lengths import measure_lengths
+from benchmarks._minute import measure_minute
+from benchmarks._operations import measure_operations
+from benchmarks._overload import measure_overload
+from benchmarks._path import measure_path
+from benchmarks._plot import plot_lengths
+from benchmarks._record import record_traces
 
 _EXPERIMENTS: dict[str, Callable[[Figures], Awaitable[None]]] = {
+    "path": measure_path,
     "lengths": measure_lengths,
+    "operations": measure_operations,
+    "calls": measure_calls,
+    "minute": measure_minute,
+    "overload": measure_overload,
+    "control": measure_control,
 }
 
 
@@ -42,12 +56,34 @@
         return int(any(figure.met is False for figure in figures.figures))
 
 
+@cappa.command(name="plot")
+@dataclass(kw_only=True)
+class PlotCommand:
+    """Plot what the experiments found."""
+
+    def __call__(self) -> int:
+        """Write the plots."""
+        plot_lengths()
+        return 0
+
+
+@cappa.command(name="record")
+@dataclass(kw_only=True)
+class RecordCommand:
+    """Record traces of decisions for the tests."""
+
+    def __call__(self) -> int:
+        """Write the traces."""
+        asyncio.run(record_traces())
+        return 0
+
+
 @cappa.command(name="benchmarks")
 @dataclass(kw_only=True)
 class Benchmarks:
     """Measure gentianhoist on this machine."""
 
-    command: cappa.Subcommands[RunCommand]
+    command: cappa.Subcommands[RunCommand | PlotCommand | RecordCommand]
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/benchmarks/_overload.py
@@ -0,0 +1,49 @@
+"""Twice the capacity offered, with the retry budget and with as many as one likes."""
+
+from __future__ import annotations
+
+import random
+
+from benchmarks._figures import Figures
+from benchmarks._load import LoadGenerator, Prompt, arrivals
+from benchmarks._processes import Deployment, Shape
+
+_CAPACITY_PER_S = 9.0
+_DURATION_S = 8.0
+_PROMPT_TOKENS = 3_000
+_DEADLINE_S = 3.0
+
+
+async def measure_overload(figures: Figures) -> None:
+    """Run the experiment with and without the budget.
+
+    Args:
+        figures: Where the figures go.
+    """
+    for name, limits in (("budget", {}), ("no_budget", {"retry_ratio": 1.0})):
+        served = await _served_per_s(limits)
+        figures.plain(f"overload_goodput_ratio.{name}", served[1] / served[0], "ratio")
+        figures.plain(f"served_per_s.capacity.{name}", served[0], "requests/s")
+
+
+async def _served_per_s(limits: dict[str, float]) -> list[float]:
+    rng = random.Random(11)
+    deployment = Deployment(Shape(zones=2, entries=2, engines=2, limits=limits))
+    await deployment.start()
+    try:
+        served = []
+        for factor in (1.0, 2.0):
+            urls = [deployment.entry_url(0), deployment.entry_url(1)]
+            load = LoadGenerator(urls, deployment.caller_headers, _DEADLINE_S)
+            schedule = arrivals(
+                rng,
+                factor * _CAPACITY_PER_S,
+                _DURATION_S,
+                lambda due_s: Prompt(due_s, _PROMPT_TOKENS, 16, "short"),
+            )
+            answers = await load.run(schedule)
+            in_time = sum(item.whole and item.last_s <= _DEADLINE_S for item in answers)
+            served.append(in_time / _DURATION_S)
+    finally:
+        await deployment.close()
+    return served
--- a/gentianhoist/backends/_service.py
+++ b/gentianhoist/backends/_service.py
@@ -8,6 +8,7 @@
 from gentianhoist.wire import CallOutcome, CallRequest
 
 _CONNECT_TIMEOUT_S = 1.0
+_PROBE_TIMEOUT_S = 2.0
 
 
 class ServiceClient:
@@ -35,14 +36,17 @@
         if self._session is not None:
             await self._session.close()
 
-    async def reachable(self) -> bool:
-        """Whether the service answers at all."""
+    async def probe(self) -> str:
+        """Why the service doesn't answer, empty if it does."""
         assert self._session is not None, "start() first"
+        timeout = aiohttp.ClientTimeout(total=_PROBE_TIMEOUT_S)
         try:
-            async with self._session.get(f"{self._url}/health") as response:
-                return response.status == 200
-        except (TimeoutError, aiohttp.ClientError):
-            return False
+            async with self._session.get(
+                f"{self._url}/health", timeout=timeout
+            ) as response:
+                return "" if response.status == 200 else f"HTTP {response.status}"
+        except (TimeoutError, aiohttp.ClientError, OSError) as error:
+            return f"{type(error).__name__} {error}"
 
     async def send(self, request: CallRequest) -> CallOutcome:
         """Send a call; see `CallSender.send`."""
--- a/gentianhoist/calls/__init__.py
+++ b/gentianhoist/calls/__init__.py
@@ -4,6 +4,7 @@
 from gentianhoist.calls._group_commit import GroupCommit
 from gentianhoist.calls._keys import check_key, new_key
 from gentianhoist.calls._settler import CallSettler
+from gentianhoist.calls._sweeper import CallSweeper
 from gentianhoist.calls.core import (
     CallRecord,
     CallState,
@@ -23,6 +24,7 @@
     "CallSender",
     "CallSettler",
     "CallState",
+    "CallSweeper",
     "Execute",
     "GroupCommit",
     "NotSent",
--- /dev/null
+++ b/gentianhoist/cli/_replay.py
@@ -0,0 +1,38 @@
+"""The command that replays recorded traces."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+import msgspec
+
+from gentianhoist.cli._exits import ExitCode
+from gentianhoist.replay import ReplayFault, load_trace, replay_trace
+
+
+@cappa.command(name="replay")
+@dataclass(kw_only=True)
+class ReplayCommand:
+    """Replay recorded traces of decisions against their stated outcomes."""
+
+    files: Annotated[list[Path], cappa.Arg(help="Traces, as JSON lines.")]
+
+    def __call__(self) -> int:
+        """Replay them; exits with 1 if one differs and 2 if one can't be read."""
+        code = ExitCode.OK
+        for file in self.files:
+            try:
+                trace = load_trace(file)
+                calls = replay_trace(trace)
+            except ReplayFault as fault:
+                print(f"{file.name}: {fault}")
+                code = ExitCode.FAILED
+            except (OSError, ValueError, msgspec.MsgspecError) as error:
+                message = f"{file.name}: no trace: {error}"
+                raise cappa.Exit(message, code=ExitCode.BAD_SETTINGS) from None
+            else:
+                print(f"{file.name}: {calls} calls as stated ({trace.header.title})")
+        return code
--- a/gentianhoist/cli/core.py
+++ b/gentianhoist/cli/core.py
@@ -20,6 +20,7 @@
     TimelineCommand,
     ZoneCommand,
 )
+from gentianhoist.cli._replay import ReplayCommand
 from gentianhoist.cli._settings import CheckCommand, SettingsCommand
 from gentianhoist.cli._standins import StandinCommand
 
@@ -73,6 +74,7 @@
         | TimelineCommand
         | CheckCommand
         | SettingsCommand
+        | ReplayCommand
         | KeyCommand
         | DemoCommand
         | StandinCommand
--- a/gentianhoist/entry/_completions.py
+++ b/gentianhoist/entry/_completions.py
@@ -108,8 +108,9 @@
         while (link := self._choose(job, tried, failures)) is not None:
             tried.add(link.member.name)
             try:
-                async for texts in self._attempt(link, assembler, job):
-                    yield texts
+                async with aclosing(self._attempt(link, assembler, job)) as tokens:
+                    async for texts in tokens:
+                        yield texts
             except HoistError as error:
                 failures.append(error)
                 if not self._may_go_on(job, failures):
@@ -196,11 +197,12 @@
                     resume=resumes > 0,
                 )
                 stub = link.stub
+                silence_s = self._deployment.timing.silence_s
+                reading = read_stream(stub, request, assembler, silence_s)
                 try:
-                    async for texts in read_stream(
-                        stub, request, assembler, self._deployment.timing.silence_s
-                    ):
-                        yield texts
+                    async with aclosing(reading) as tokens:
+                        async for texts in tokens:
+                            yield texts
                 except ConnectionLost as error:
                     if isinstance(error, ConnectionSilent) and stub is link.stub:
                         link.replace("a stream is silent")
--- a/gentianhoist/entry/_stream_reader.py
+++ b/gentianhoist/entry/_stream_reader.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 
 from grpclib.client import Stream
 from grpclib.exceptions import GRPCError, StreamTerminatedError
@@ -67,8 +68,9 @@
         async with stub.run.open() as stream:
             async with asyncio.timeout(silence_s):
                 await stream.send_message(request)
-            async for texts in _read_open(stream, assembler, silence_s):
-                yield texts
+            async with aclosing(_read_open(stream, assembler, silence_s)) as tokens:
+                async for texts in tokens:
+                    yield texts
     except TimeoutError as error:
         raise ConnectionSilent("silent") from error
     except (OSError, StreamTerminatedError, GRPCError) as error:
--- /dev/null
+++ b/gentianhoist/replay/__init__.py
@@ -0,0 +1,11 @@
+"""Recorded traces of decisions, replayed against their stated outcomes."""
+
+from gentianhoist.replay.core import (
+    Recorder,
+    ReplayFault,
+    Trace,
+    load_trace,
+    replay_trace,
+)
+
+__all__ = ["Recorder", "ReplayFault", "Trace", "load_trace", "replay_trace"]
--- a/gentianhoist/sidecar/_grpc.py
+++ b/gentianhoist/sidecar/_grpc.py
@@ -32,6 +32,12 @@
     SidecarService,
 )
 
+_REASONS = {
+    ErrorKind.NOT_READY: "no configuration yet, or the backend server doesn't answer",
+    ErrorKind.LEAVING: "the sidecar is leaving",
+    ErrorKind.ZONE_OUT: "operators have taken the instance or its zone out",
+}
+
 
 class SidecarGrpc(SidecarService):
     """Answers entries.
@@ -133,7 +139,7 @@
             case HoldAction.RESERVE:
                 refusal = self._closed()
                 if refusal is not None:
-                    return HoldReply(False, refusal, "no new work here")
+                    return HoldReply(False, refusal, _REASONS[refusal])
                 return self._engine.holds.reserve(request)
             case HoldAction.RENEW:
                 return self._engine.holds.renew(request)
@@ -146,7 +152,7 @@
         refusal = self._closed()
         # A repeat of a key that this life knows is answered also while it leaves.
         if refusal is not None and not self._service.knows(request):
-            return CallReply(None, refusal, "no new work here", NotRun.TRUE)
+            return CallReply(None, refusal, _REASONS[refusal], NotRun.TRUE)
         return await self._service.call(request)
 
     def _attempt(self, request: RunRequest) -> Attempt | Refused:
@@ -157,7 +163,7 @@
         refusal = self._closed()
         # Work on a reservation was admitted when the memory was reserved.
         if refusal is not None and not self._engine.holds.stands(request.hold):
-            return refused(request, refusal, "no new work here")
+            return refused(request, refusal, _REASONS[refusal])
         return self._engine.admit(request)
 
     def _resumed(self, request: RunRequest, engine: EngineRunner) -> Attempt | Refused:
@@ -181,7 +187,7 @@
     def _closed(self) -> ErrorKind | None:
         """Why there is no new work here, if so."""
         configuration = self._configuration.current
-        if configuration is None:
+        if configuration is None or not self._backend_ready():
             return ErrorKind.NOT_READY
         if self.leaving:
             return ErrorKind.LEAVING
@@ -189,7 +195,7 @@
             self._identity.instance, self._identity.availability_zone
         ):
             return ErrorKind.ZONE_OUT
-        return None if self._backend_ready() else ErrorKind.NOT_READY
+        return None
 
     async def _listen(
         self, stream: Stream[RunMessage, Frame], attempt: Attempt
--- a/gentianhoist/sidecar/_service_runner.py
+++ b/gentianhoist/sidecar/_service_runner.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from gentianhoist.backends import ServiceClient
-from gentianhoist.calls import CallExecutor
+from gentianhoist.calls import CallExecutor, CallSweeper
 from gentianhoist.capacity import SlowStart
 from gentianhoist.clocks import Clock
 from gentianhoist.events import EventKind, EventRing
@@ -14,6 +14,8 @@
 from gentianhoist.wire import CallReply, CallRequest
 
 _PROBE_S = 0.25
+# One lost probe does not make a service unreachable.
+_PROBES = 3
 _RETRY_AFTER_S = 0.1
 
 
@@ -28,6 +30,7 @@
         events: Where decisions are recorded.
         instance: Name of this instance.
         incarnation: Random name of its present life.
+        retention_s: Seconds that outcomes are kept.
     """
 
     def __init__(
@@ -39,6 +42,7 @@
         events: EventRing,
         instance: str,
         incarnation: str,
+        retention_s: float,
     ) -> None:
         self._client = ServiceClient(url)
         self._slow_start = slow_start
@@ -47,6 +51,7 @@
         self._joined = 0
         self._reachable = False
         self._probe: asyncio.Task[None] | None = None
+        self._sweeper = CallSweeper(table, clock, retention_s)
         self._executor = CallExecutor(
             table, self._client, clock, instance, incarnation, self._executed
         )
@@ -75,12 +80,14 @@
         """Open the client and begin to watch the service."""
         await self._client.start()
         await self._executor.start()
+        await self._sweeper.start()
         self._probe = asyncio.create_task(self._watch())
 
     async def close(self) -> None:
         """Stop at once."""
         if self._probe is not None:
             self._probe.cancel()
+        await self._sweeper.close()
         await self._executor.close()
         await self._client.close()
 
@@ -126,10 +133,15 @@
         )
 
     async def _watch(self) -> None:
+        failures = 0
         while True:
-            reachable = await self._client.reachable()
-            if reachable and not self._reachable:
+            reason = await self._client.probe()
+            failures = failures + 1 if reason else 0
+            if not reason and not self._reachable:
                 self._slow_start.turned_cold()
                 self._events.record(EventKind.BACKEND_COLD, "the service answers")
-            self._reachable = reachable
+                self._reachable = True
+            elif failures == _PROBES and self._reachable:
+                self._reachable = False
+                self._events.record(EventKind.BACKEND_COLD, f"no answer: {reason}")
             await asyncio.sleep(_PROBE_S)
--- a/gentianhoist/sidecar/core.py
+++ b/gentianhoist/sidecar/core.py
@@ -171,6 +171,7 @@
             self._events,
             self._settings.instance,
             self._identity.incarnation,
+            self._deployment.timing.outcome_retention_s,
         )
 
     async def _report(self) -> None:
--- a/gentianhoist/store/_http.py
+++ b/gentianhoist/store/_http.py
@@ -96,9 +96,9 @@
         """Read rows; see `TableClient.read`."""
         return _rows(await self._ask("/table/read", {"keys": list(keys)}))
 
-    async def scan(self, prefix: str, limit: int) -> list[Row]:
+    async def scan(self, prefix: str, limit: int, after: str = "") -> list[Row]:
         """Read rows by prefix; see `TableClient.scan`."""
-        body = {"prefix": prefix, "limit": limit}
+        body = {"prefix": prefix, "limit": limit, "after": after}
         return _rows(await self._ask("/table/scan", body))
 
     async def instances(self) -> list[ListedInstance]:
--- a/gentianhoist/store/core.py
+++ b/gentianhoist/store/core.py
@@ -134,8 +134,13 @@
         """
         ...
 
-    async def scan(self, prefix: str, limit: int) -> list[Row]:
-        """Read the first rows whose key starts with a prefix, in order of keys.
+    async def scan(self, prefix: str, limit: int, after: str = "") -> list[Row]:
+        """Read rows whose key starts with a prefix, in order of keys.
+
+        Args:
+            prefix: The prefix.
+            limit: How many at the most.
+            after: Only keys after this one.
 
         Raises:
             StoreUnavailable: If there is no answer.
