Orders under fencing numbers; split the engine's runner and the HTTP interface

Cause: engines take orders to load and unload models and to change role, and some don't check fencing numbers. The runner and the HTTP module had grown to several jobs. Two lives of one sidecar at once are not guarded for engines that don't check. Found by the failure tests: a sidecar that stops told its entries that the deadline had passed, which ended the request instead of moving it; it now says that it failed.

--- a/gentianhoist/backends/_engine.py
+++ b/gentianhoist/backends/_engine.py
@@ -21,6 +21,7 @@
 _ORDER_TIMEOUT_S = 2.0
 _CONNECT_TIMEOUT_S = 1.0
 _NOT_FOUND = 404
+_CONFLICT = 409
 
 
 class _Line(msgspec.Struct):
@@ -95,6 +96,20 @@
         """
         await self._ask("DELETE", f"/v1/streams/{stream_id}")
 
+    async def order(self, order: str, target: str, fencing: int) -> None:
+        """Give an order.
+
+        Raises:
+            EngineRefused: If the engine refuses the fencing number.
+            EngineBroken: If there is no answer, and the order may have been taken.
+        """
+        body = msgspec.json.encode({
+            "order": order,
+            "target": target,
+            "fencing": fencing,
+        })
+        await self._ask("POST", "/v1/orders", body)
+
     async def export(self, stream_id: str) -> bytes:
         """The memory that a hold has in the engine. Raises as `cancel` does."""
         return await self._ask("GET", f"/v1/streams/{stream_id}/kv")
@@ -153,16 +168,18 @@
             raise EngineBroken(str(error)) from error
         raise EngineBroken("the stream broke off")
 
-    async def _ask(self, method: str, path: str) -> bytes:
+    async def _ask(self, method: str, path: str, body: bytes | None = None) -> bytes:
         assert self._session is not None, "start() first"
         timeout = aiohttp.ClientTimeout(total=_ORDER_TIMEOUT_S)
         try:
             async with self._session.request(
-                method, self._url + path, timeout=timeout
+                method, self._url + path, data=body, timeout=timeout
             ) as response:
                 data = await response.read()
         except (TimeoutError, aiohttp.ClientError) as error:
             raise EngineBroken(str(error)) from error
+        if response.status == _CONFLICT:
+            raise EngineRefused(response.status, data.decode())
         if response.status not in (200, _NOT_FOUND):
             raise EngineBroken(f"{path}: HTTP {response.status}")
         return data
--- a/gentianhoist/capacity/core.py
+++ b/gentianhoist/capacity/core.py
@@ -259,6 +259,11 @@
         item.first_token_s = now_s
         if item.alone:
             self._speed.prefilled(item.work.uncached_tokens, now_s - item.started_s)
+        if self._speed.looks_cold and self._slow_start.warm:
+            # It turned cold without a warning; its memory is as it was.
+            self._slow_start.turned_cold()
+            self._speed.turned_cold()
+            return
         self._slow_start.succeeded(
             slowness_ratio=self._speed.slowness_ratio, at_limit=item.at_limit
         )
--- a/gentianhoist/cli/_daemons.py
+++ b/gentianhoist/cli/_daemons.py
@@ -12,9 +12,7 @@
 import uvloop
 
 from gentianhoist.cli._exits import ExitCode, settings_or_exit
-from gentianhoist.entry import Entry
 from gentianhoist.settings import load_entry, load_sidecar
-from gentianhoist.sidecar import Sidecar
 from gentianhoist.telemetry import configure_logging
 
 
@@ -68,6 +66,9 @@
 
     def __call__(self) -> int:
         """Run until told to stop."""
+        # Each role imports only its own libraries, which halves a sidecar's memory.
+        from gentianhoist.entry import Entry
+
         settings, deployment = settings_or_exit(load_entry, self.settings)
         configure_logging(
             "entry", settings.instance, settings.availability_zone, settings.log_level
@@ -89,6 +90,8 @@
 
     def __call__(self) -> int:
         """Run until told to stop."""
+        from gentianhoist.sidecar import Sidecar
+
         settings, deployment = settings_or_exit(load_sidecar, self.settings)
         configure_logging(
             "sidecar", settings.instance, settings.availability_zone, settings.log_level
--- a/gentianhoist/cli/_operators.py
+++ b/gentianhoist/cli/_operators.py
@@ -9,11 +9,11 @@
 from dataclasses import dataclass, field
 from typing import Annotated, Any
 
-import aiohttp
 import cappa
 import msgspec
 
 from gentianhoist.cli._exits import ExitCode
+from gentianhoist.cli._remote import Refused, Unreachable, ask_entry
 from gentianhoist.events import (
     Event,
     EventFilter,
@@ -23,7 +23,6 @@
     render_text,
 )
 
-_TIMEOUT_S = 10.0
 _WAIT_S = 30.0
 _POLL_S = 0.1
 _MICROSECONDS_PER_S = 1_000_000
@@ -31,12 +30,6 @@
 _REJECTED = 422
 
 
-class _Refused(Exception):
-    def __init__(self, status: int, message: str) -> None:
-        super().__init__(message)
-        self.status = status
-
-
 @dataclass(kw_only=True)
 class _Remote:
     """How to reach an entry."""
@@ -57,29 +50,15 @@
                 code=ExitCode.BAD_SETTINGS,
             )
         try:
-            return asyncio.run(self._ask(method, path, body))
-        except _Refused as error:
+            return asyncio.run(ask_entry(self.entry, self.key, method, path, body))
+        except Refused as error:
             codes = {_CONFLICT: ExitCode.CONFLICT, _REJECTED: ExitCode.REJECTED}
             code = codes.get(error.status, ExitCode.FAILED)
             raise cappa.Exit(str(error), code=code) from None
-        except (TimeoutError, aiohttp.ClientError) as error:
+        except Unreachable as error:
             message = f"{self.entry} doesn't answer: {error}"
             raise cappa.Exit(message, code=ExitCode.UNREACHABLE) from None
 
-    async def _ask(self, method: str, path: str, body: Any) -> Any:
-        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
-        headers = {"Authorization": f"Bearer {self.key}"}
-        url = f"{self.entry.rstrip('/')}/operators/v1/{path}"
-        async with aiohttp.ClientSession(timeout=timeout) as session:
-            async with session.request(
-                method, url, json=body, headers=headers
-            ) as response:
-                content = await response.json()
-        if response.status != 200:
-            error = content["error"]
-            raise _Refused(response.status, f"{error['code']}: {error['message']}")
-        return content
-
     def show(self, content: Any, text: str) -> None:
         """Print as JSON or as text."""
         print(msgspec.json.encode(content).decode() if self.json else text)
@@ -344,6 +323,26 @@
     ]
 
 
+@cappa.command(name="order")
+@dataclass(kw_only=True)
+class OrderCommand(_Remote):
+    """Order an engine to load or unload a model or adapter, or to change its role."""
+
+    order: Annotated[
+        str,
+        cappa.Arg(help="load_model, unload_model, load_adapter or change_role."),
+    ]
+    instance: Annotated[str, cappa.Arg(help="Instance of the engine's sidecar.")]
+    target: Annotated[str, cappa.Arg(help="Model, adapter or role.")]
+
+    def __call__(self) -> int:
+        """Send the order."""
+        body = {"instance": self.instance, "order": self.order, "target": self.target}
+        answer = self.ask("POST", "orders", body)
+        self.show(answer, f"done under fencing number {answer['fencing']}")
+        return ExitCode.OK
+
+
 @cappa.command(name="timeline")
 @dataclass(kw_only=True)
 class TimelineCommand(_Remote):
--- a/gentianhoist/cli/_standins.py
+++ b/gentianhoist/cli/_standins.py
@@ -3,26 +3,29 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Annotated
+from typing import Annotated, Protocol
 
 import cappa
 
 from gentianhoist.cli._daemons import run_process
 from gentianhoist.cli._exits import ExitCode
-from gentianhoist.standins import EngineProfile, EngineStandin
-from gentianhoist.standins.platform import PlatformStandin
-from gentianhoist.standins.service import ServiceStandin
 
 _HostArg = Annotated[str, cappa.Arg(long=True, help="IP number to listen on.")]
 _PortArg = Annotated[int, cappa.Arg(long=True, help="TCP port to listen on.")]
 
 
+class _Standin(Protocol):
+    url: str
+
+    async def start(self) -> None: ...
+
+    async def close(self) -> None: ...
+
+
 class _Undrained:
     """A stand-in as a process: it has nothing to finish."""
 
-    def __init__(
-        self, standin: EngineStandin | ServiceStandin | PlatformStandin
-    ) -> None:
+    def __init__(self, standin: _Standin) -> None:
         self._standin = standin
 
     async def start(self) -> None:
@@ -53,6 +56,8 @@
 
     def __call__(self) -> int:
         """Run until told to stop."""
+        from gentianhoist.standins import EngineProfile, EngineStandin
+
         profile = EngineProfile(kv_capacity_tokens=self.kv_capacity_tokens)
         run_process(
             lambda: _Undrained(
@@ -78,6 +83,8 @@
 
     def __call__(self) -> int:
         """Run until told to stop."""
+        from gentianhoist.standins import ServiceStandin
+
         run_process(lambda: _Undrained(ServiceStandin(self.host, self.port)))
         return ExitCode.OK
 
@@ -92,6 +99,8 @@
 
     def __call__(self) -> int:
         """Run until told to stop."""
+        from gentianhoist.standins import PlatformStandin
+
         run_process(lambda: _Undrained(PlatformStandin(self.host, self.port)))
         return ExitCode.OK
 
--- a/gentianhoist/cli/core.py
+++ b/gentianhoist/cli/core.py
@@ -15,6 +15,7 @@
 from gentianhoist.cli._operators import (
     ConfigCommand,
     InstanceCommand,
+    OrderCommand,
     PresetCommand,
     StatusCommand,
     TimelineCommand,
@@ -71,6 +72,7 @@
         | ZoneCommand
         | InstanceCommand
         | ConfigCommand
+        | OrderCommand
         | TimelineCommand
         | CheckCommand
         | SettingsCommand
--- a/gentianhoist/entry/_completions.py
+++ b/gentianhoist/entry/_completions.py
@@ -204,7 +204,8 @@
                         async for texts in tokens:
                             yield texts
                 except ConnectionLost as error:
-                    if isinstance(error, ConnectionSilent) and stub is link.stub:
+                    silent = isinstance(error, ConnectionSilent)
+                    if silent and stub is link.stub and not link.alive:
                         link.replace("a stream is silent")
                     self._note_resume(link, assembler, job, error)
                     await asyncio.sleep(_RESUME_PAUSE_S * resumes)
--- a/gentianhoist/entry/_http.py
+++ b/gentianhoist/entry/_http.py
@@ -5,13 +5,11 @@
 import asyncio
 import contextlib
 import logging
-import math
 import uuid
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Generator
 from contextlib import aclosing
 
 from sanic import Request, Sanic
-from sanic.exceptions import NotFound, PayloadTooLarge, SanicException
 from sanic.response import HTTPResponse, raw
 
 from gentianhoist.calls import check_key
@@ -19,6 +17,14 @@
 from gentianhoist.configuration import Identity
 from gentianhoist.entry._calls import CallDispatcher
 from gentianhoist.entry._completions import CompletionDispatcher
+from gentianhoist.entry._errors import as_hoist_error, error_answer
+from gentianhoist.entry._headers import (
+    deadline_left_s,
+    id_header,
+    key_attempt,
+    new_request_id,
+    priority,
+)
 from gentianhoist.entry._jobs import CompletionJob
 from gentianhoist.entry._keys import identify
 from gentianhoist.entry._openai import (
@@ -33,13 +39,12 @@
 from gentianhoist.routing import count_tokens, prefix_marks
 from gentianhoist.settings import DeploymentSettings, EntrySettings, ModelSettings
 from gentianhoist.telemetry import Metrics, request_log
-from gentianhoist.wire import CallRequest, Stamp
+from gentianhoist.wire import CallRequest
 
 _LOG = logging.getLogger(__name__)
 
 _REQUEST_TIMEOUT_S = 30
 _MAX_HEADER_BYTES = 16 * 1024
-_MAX_ID_CHARACTERS = 64
 _JSON = "application/json"
 _EVENT_STREAM = "text/event-stream"
 
@@ -214,7 +219,7 @@
             texts.extend(part)
         return raw(
             shape.whole("".join(texts), len(texts)),
-            headers=_id_header(request),
+            headers=id_header(request),
             content_type=_JSON,
         )
 
@@ -230,7 +235,7 @@
             async for part in tokens:
                 if response is None:
                     response = await request.respond(
-                        content_type=_EVENT_STREAM, headers=_id_header(request)
+                        content_type=_EVENT_STREAM, headers=id_header(request)
                     )
                 first = count == 0
                 count += len(part)
@@ -263,30 +268,30 @@
             )
         idempotent = found[0].idempotent
         call = CallRequest(
-            stamp=self._stamp(),
+            stamp=self._identity.stamp(),
             request_id=request.ctx.request_id,
             organisation=organisation,
             service=service,
             operation=operation,
             idempotent=idempotent,
             key="" if idempotent else self._key(request),
-            key_attempt=_key_attempt(request),
+            key_attempt=key_attempt(request),
             body=request.body,
-            deadline_left_s=self._deadline_left_s(request),
+            deadline_left_s=deadline_left_s(request, self._deployment.limits),
         )
         with self._counted():
             outcome = await self._calls.call(call)
         return raw(
             outcome.body,
             status=outcome.status,
-            headers=_id_header(request),
+            headers=id_header(request),
             content_type=outcome.content_type,
         )
 
     def _begin(self, request: Request) -> str:
         """Identify the caller and record the request."""
         self._metrics.count("requests")
-        request.ctx.request_id = _request_id(request)
+        request.ctx.request_id = new_request_id(request)
         organisation = self._organisation(request)
         self._events.record(
             EventKind.REQUEST_RECEIVED,
@@ -325,8 +330,8 @@
             prompt_tokens,
             prefix_marks(generation.prompt),
             max_tokens,
-            self._clock.elapsed_s() + self._deadline_left_s(request),
-            _priority(request),
+            self._clock.elapsed_s() + deadline_left_s(request, self._deployment.limits),
+            priority(request),
             generation.sampling,
         )
 
@@ -349,28 +354,8 @@
             self._deployment.timing.outcome_retention_s,
         )
 
-    def _deadline_left_s(self, request: Request) -> float:
-        limits = self._deployment.limits
-        text = request.headers.get("x-deadline-s")
-        if text is None:
-            return limits.default_deadline_s
-        try:
-            value = float(text)
-        except ValueError:
-            value = math.nan
-        if not 0 < value <= limits.max_deadline_s:
-            raise HoistError(
-                ErrorKind.INVALID_REQUEST,
-                f"must be seconds above 0 and up to {limits.max_deadline_s:g}",
-                field="X-Deadline-S",
-            )
-        return value
-
-    def _stamp(self) -> Stamp:
-        return self._identity.stamp()
-
     @contextlib.contextmanager
-    def _counted(self):  # type: ignore[no-untyped-def]
+    def _counted(self) -> Generator[None, None, None]:
         self._in_progress += 1
         self._metrics.gauge("streams", self._in_progress)
         try:
@@ -379,23 +364,15 @@
             self._in_progress -= 1
 
     async def _on_error(self, request: Request, exception: Exception) -> HTTPResponse:
-        error = _as_hoist_error(exception)
+        error = as_hoist_error(exception)
         if error.kind is ErrorKind.INTERNAL:
             _LOG.error("unexpected error", exc_info=exception)
         self._note_failure(request, error)
-        headers = _id_header(request)
-        if error.retry_after_s > 0:
-            headers["Retry-After"] = str(math.ceil(error.retry_after_s))
-        return raw(
-            error_body(error, headers["X-Request-Id"]),
-            status=error.answer.status,
-            headers=headers,
-            content_type=_JSON,
-        )
+        return error_answer(request, error)
 
     def _note_failure(self, request: Request, error: HoistError) -> None:
         self._metrics.count("refusals")
-        request_id = _id_header(request)["X-Request-Id"]
+        request_id = id_header(request)["X-Request-Id"]
         kind = (
             EventKind.REQUEST_REFUSED
             if error.not_run == "true"
@@ -403,64 +380,3 @@
         )
         self._events.record(kind, f"{error.kind}: {error.message}", request_id)
         request_log(_LOG, request_id).info("%s: %s", error.kind, error.message)
-
-
-def _as_hoist_error(exception: Exception) -> HoistError:
-    match exception:
-        case HoistError():
-            return exception
-        case BaseExceptionGroup():
-            faults = [
-                error for error in exception.exceptions if isinstance(error, HoistError)
-            ]
-            if not faults:
-                return HoistError(ErrorKind.INTERNAL, "unexpected error")
-            message = "; ".join(f"{error.field}: {error.message}" for error in faults)
-            return HoistError(faults[0].kind, message, field=faults[0].field)
-        case PayloadTooLarge():
-            return HoistError(ErrorKind.BODY_TOO_LARGE, "the body is too large")
-        case NotFound():
-            return HoistError(ErrorKind.UNKNOWN_RESOURCE, str(exception))
-        case SanicException() if exception.status_code < 500:
-            return HoistError(ErrorKind.INVALID_REQUEST, str(exception))
-        case _:
-            return HoistError(ErrorKind.INTERNAL, "unexpected error")
-
-
-def _request_id(request: Request) -> str:
-    given = request.headers.get("x-request-id", "")
-    usable = given.isascii() and given.replace("-", "").isalnum()
-    if given and (not usable or len(given) > _MAX_ID_CHARACTERS):
-        raise HoistError(
-            ErrorKind.INVALID_REQUEST,
-            f"must be up to {_MAX_ID_CHARACTERS} letters, digits and hyphens",
-            field="X-Request-Id",
-        )
-    # What a caller repeats must not cross with its first request, so the id is new.
-    suffix = uuid.uuid4().hex[:12]
-    return f"{given}-{suffix}" if given else f"req-{uuid.uuid4().hex}"
-
-
-def _id_header(request: Request) -> dict[str, str]:
-    request_id = getattr(request.ctx, "request_id", "") if request else ""
-    return {"X-Request-Id": request_id or f"req-{uuid.uuid4().hex}"}
-
-
-def _key_attempt(request: Request) -> int:
-    text = request.headers.get("idempotency-attempt", "0")
-    if not text.isascii() or not text.isdigit() or len(text) > 6:
-        raise HoistError(
-            ErrorKind.INVALID_REQUEST,
-            "must be a whole number from 1",
-            field="Idempotency-Attempt",
-        )
-    return int(text)
-
-
-def _priority(request: Request) -> int:
-    text = request.headers.get("x-priority", "normal")
-    if text not in ("normal", "low"):
-        raise HoistError(
-            ErrorKind.INVALID_REQUEST, "must be normal or low", field="X-Priority"
-        )
-    return 1 if text == "low" else 0
--- a/gentianhoist/entry/_links.py
+++ b/gentianhoist/entry/_links.py
@@ -69,7 +69,7 @@
         self._task: asyncio.Task[None] | None = None
         self._channel: Channel | None = None
         self._stub: _Stub | None = None
-        self._last: HeartbeatReply | None = None
+        self._heard_s = float("-inf")
 
     @property
     def member(self) -> Member:
@@ -87,6 +87,12 @@
         """Configuration version that it last had."""
         return self._heard_version
 
+    @property
+    def alive(self) -> bool:
+        """Whether it has answered a heartbeat a moment ago."""
+        silent_s = self._clock.elapsed_s() - self._heard_s
+        return silent_s <= self._timing.silence_s
+
     async def start(self) -> None:
         """Open the connection and keep it alive."""
         self._open()
@@ -137,7 +143,7 @@
     def _take(self, reply: HeartbeatReply, asked_s: float) -> None:
         self._identity.received(reply.stamp)
         self._heard_version = reply.stamp.configuration_version
-        self._last = reply
+        self._heard_s = self._clock.elapsed_s()
         self._on_reply(self._member, reply, asked_s)
 
 
--- a/gentianhoist/entry/_operators.py
+++ b/gentianhoist/entry/_operators.py
@@ -17,6 +17,7 @@
     Configuration,
     ConfigurationLog,
     ConfigurationReplica,
+    Identity,
 )
 from gentianhoist.entry._allowance import AllowanceKeeper
 from gentianhoist.entry._directory import Directory
@@ -26,9 +27,10 @@
 from gentianhoist.entry._openai import decode_body
 from gentianhoist.events import Event, EventRing
 from gentianhoist.exceptions import ErrorKind, HoistError
+from gentianhoist.orders import OrderDesk
 from gentianhoist.settings import DeploymentSettings
 from gentianhoist.store import StoreUnavailable
-from gentianhoist.wire import EventsRequest
+from gentianhoist.wire import EventsRequest, OrderKind, OrderRequest
 
 _EVENTS_TIMEOUT_S = 1.0
 _HISTORY_VERSIONS = 100
@@ -51,6 +53,22 @@
     dry_run: bool = False
 
 
+class OrderBody(msgspec.Struct, forbid_unknown_fields=True):
+    """Body of ``POST /operators/v1/orders``.
+
+    Attributes:
+        instance: Instance of the engine's sidecar.
+        order: What the engine is told.
+        target: Model, adapter or role.
+        deadline_s: Seconds that it may take.
+    """
+
+    instance: str
+    order: OrderKind
+    target: str
+    deadline_s: float = 60.0
+
+
 class OperatorsApi:
     """Routes for operators.
 
@@ -63,7 +81,8 @@
         allowance: Knows this entry's share.
         clock: This machine's clocks.
         events: This process's events.
-        instance: Name of this instance.
+        identity: Who this process is.
+        desk: Takes leases for orders.
     """
 
     def __init__(
@@ -76,7 +95,8 @@
         allowance: AllowanceKeeper,
         clock: Clock,
         events: EventRing,
-        instance: str,
+        identity: Identity,
+        desk: OrderDesk,
     ) -> None:
         self._deployment = deployment
         self._replica = replica
@@ -86,13 +106,15 @@
         self._allowance = allowance
         self._clock = clock
         self._events = events
-        self._instance = instance
+        self._identity = identity
+        self._desk = desk
 
     def add_routes(self, app: Sanic) -> None:
         """Add the routes to an application."""
         app.add_route(self._get_configuration, f"{_PREFIX}/configuration")
         app.add_route(self._get_history, f"{_PREFIX}/history")
         app.add_route(self._post_change, f"{_PREFIX}/changes", methods=["POST"])
+        app.add_route(self._post_order, f"{_PREFIX}/orders", methods=["POST"])
         app.add_route(self._get_status, f"{_PREFIX}/status")
         app.add_route(self._get_events, f"{_PREFIX}/events")
 
@@ -132,11 +154,40 @@
             "configuration": describe(configuration, self._clock.wall_s()),
         })
 
+    async def _post_order(self, request: Request) -> HTTPResponse:
+        self._operator(request)
+        body = decode_body(request.body, OrderBody)
+        link = self._directory.find(body.instance)
+        if link is None:
+            raise HoistError(
+                ErrorKind.UNKNOWN_RESOURCE,
+                f"this entry has no connection to {body.instance}",
+                field="instance",
+            )
+        lease = await self._desk.take(body.instance)
+        order = OrderRequest(
+            self._identity.stamp(),
+            body.order,
+            body.target,
+            lease.fencing,
+            body.deadline_s,
+        )
+        try:
+            reply = await link.stub.order(order, timeout=body.deadline_s)
+        except CONNECTION_ERRORS as error:
+            raise HoistError(
+                ErrorKind.OUTCOME_UNKNOWN, f"no answer: {type(error).__name__}"
+            ) from error
+        if not reply.done:
+            kind = reply.kind or ErrorKind.INTERNAL
+            raise HoistError(kind, reply.message, not_run=reply.not_run)
+        return _json({"instance": body.instance, "fencing": lease.fencing})
+
     async def _get_status(self, request: Request) -> HTTPResponse:
         self._operator(request)
         links = [*self._directory.entries, *self._directory.sidecars]
         return _json({
-            "instance": self._instance,
+            "instance": self._identity.instance,
             "configuration_version": self._replica.version,
             "confirmed": self._keeper.confirmed,
             "share_ppm": self._allowance.share_ppm,
--- a/gentianhoist/entry/_stream_reader.py
+++ b/gentianhoist/entry/_stream_reader.py
@@ -81,27 +81,31 @@
     stream: _Stream, assembler: StreamAssembler, silence_s: float
 ) -> AsyncIterator[tuple[str, ...]]:
     acknowledged = assembler.next_offset
+    now = asyncio.get_running_loop().time
     try:
-        while True:
-            async with asyncio.timeout(silence_s):
+        async with asyncio.timeout(None) as watch:
+            while True:
+                watch.reschedule(now() + silence_s)
                 frame = await stream.recv_message()
-            if frame is None:
-                raise ConnectionLost("the stream broke off")
-            match assembler.feed(frame):
-                case Deliver(texts=texts) if texts:
-                    yield texts
-                case Complete():
-                    await stream.end()
-                    return
-                case Ended(refusal=refusal):
-                    raise _as_error(refusal)
-                case Corrupt(reason=reason):
-                    raise HoistError(ErrorKind.CORRUPT_ANSWER, reason)
-                case Deliver() | Drop():
-                    continue
-            if assembler.next_offset - acknowledged >= _ACK_TOKENS:
-                acknowledged = assembler.next_offset
-                await stream.send_message(Ack(acknowledged))
+                # A slow caller is not a silent sidecar.
+                watch.reschedule(None)
+                if frame is None:
+                    raise ConnectionLost("the stream broke off")
+                match assembler.feed(frame):
+                    case Deliver(texts=texts) if texts:
+                        yield texts
+                    case Complete():
+                        await stream.end()
+                        return
+                    case Ended(refusal=refusal):
+                        raise _as_error(refusal)
+                    case Corrupt(reason=reason):
+                        raise HoistError(ErrorKind.CORRUPT_ANSWER, reason)
+                    case Deliver() | Drop():
+                        continue
+                if assembler.next_offset - acknowledged >= _ACK_TOKENS:
+                    acknowledged = assembler.next_offset
+                    await stream.send_message(Ack(acknowledged))
     except (GeneratorExit, asyncio.CancelledError):
         await _say_farewell(stream)
         raise
--- a/gentianhoist/entry/core.py
+++ b/gentianhoist/entry/core.py
@@ -28,6 +28,7 @@
 from gentianhoist.entry._operators import OperatorsApi
 from gentianhoist.events import EventKind, EventRing
 from gentianhoist.membership import Membership, member_from_settings
+from gentianhoist.orders import OrderDesk
 from gentianhoist.routing import (
     ExpectedFirstToken,
     LeastOutstanding,
@@ -171,7 +172,13 @@
             self._allowance,
             self._clock,
             self._events,
-            self._settings.instance,
+            self._identity,
+            OrderDesk(
+                self._platform,
+                self._clock,
+                self._identity.incarnation,
+                self._deployment.timing.clock_skew_s,
+            ),
         )
         self._http = HttpApi(
             self._settings,
--- a/gentianhoist/settings/core.py
+++ b/gentianhoist/settings/core.py
@@ -225,6 +225,11 @@
     loan_s: PositiveSeconds = Field(
         1.0, description="Seconds within which a borrowed allowance is spent."
     )
+    coalesce_s: float = Field(
+        0.03,
+        ge=0,
+        description="Seconds for which a sidecar gathers tokens into one message.",
+    )
     resume_lease_s: PositiveSeconds = Field(
         8.0, description="Seconds that a stream without its entry is kept."
     )
--- a/gentianhoist/sidecar/_attempt.py
+++ b/gentianhoist/sidecar/_attempt.py
@@ -38,6 +38,12 @@
         self.detached_s = now_s
         self.task: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
+        self._ended = asyncio.Event()
+
+    @property
+    def ended(self) -> asyncio.Event:
+        """Set when the attempt has ended."""
+        return self._ended
 
     @property
     def stream_id(self) -> str:
@@ -80,6 +86,7 @@
         if self.end is None:
             self.end = end
             self.state = AttemptState.ENDED
+            self._ended.set()
             self.wake()
 
 
--- a/gentianhoist/sidecar/_engine_runner.py
+++ b/gentianhoist/sidecar/_engine_runner.py
@@ -26,15 +26,15 @@
 from gentianhoist.clocks import Clock
 from gentianhoist.events import EventKind, EventRing
 from gentianhoist.exceptions import ErrorKind, NotRun
-from gentianhoist.routing import CacheMap, PrefixMark
+from gentianhoist.routing import PrefixMark
 from gentianhoist.settings import LimitSettings, TimingSettings
 from gentianhoist.sidecar._attempt import Attempt, AttemptState, refused, stream_id
+from gentianhoist.sidecar._cache_feed import CacheFeed
+from gentianhoist.sidecar._frames import read_frames
 from gentianhoist.sidecar._holds import HoldKeeper
+from gentianhoist.sidecar._strays import StrayLedger
 from gentianhoist.store import HttpPlatform
 from gentianhoist.wire import (
-    Admitted,
-    Beat,
-    Chunk,
     EngineLoad,
     Frame,
     Refused,
@@ -42,11 +42,8 @@
 )
 
 _TICK_S = 0.05
-_RECONCILE_S = 0.5
-_CACHE_EVENTS_S = 0.25
 _ENGINE_SILENCE_S = 20.0
 _ENGINE_RESUMES = 2
-_MARKS_KEPT = 1024
 _FULL_MEMORY_STATUS = 413
 
 
@@ -81,13 +78,20 @@
         self._events = events
         self._attempts: dict[str, Attempt] = {}
         self._boot_id = ""
-        self._cache = CacheMap()
-        self._cache_marks: list[int] = []
-        self._cache_end = 0
-        self._strays: set[str] = set()
-        self._tasks: list[asyncio.Task[None]] = []
-        self._reachable = False
-        self._holds = HoldKeeper(gate, platform, clock, self._add_stray)
+        self._ticker: asyncio.Task[None] | None = None
+        self._cache = CacheFeed(self._client, clock)
+        self._strays = StrayLedger(self._client, gate, events, self._owned)
+        self._holds = HoldKeeper(gate, platform, clock, self._strays.add)
+
+    @property
+    def client(self) -> EngineClient:
+        """Client of the engine."""
+        return self._client
+
+    @property
+    def cache(self) -> CacheFeed:
+        """What the engine has cached."""
+        return self._cache
 
     @property
     def holds(self) -> HoldKeeper:
@@ -106,27 +110,25 @@
     @property
     def ready(self) -> bool:
         """Whether the engine answers and holds nothing of an earlier life."""
-        return self._reachable
+        return self._strays.reachable
 
     async def start(self) -> None:
         """Free what an earlier life left in the engine, then serve."""
         await self._client.start()
-        self._tasks = [
-            asyncio.create_task(self._tick()),
-            asyncio.create_task(self._reconcile()),
-            asyncio.create_task(self._watch_cache()),
-        ]
+        await self._strays.start()
+        await self._cache.start()
+        self._ticker = asyncio.create_task(self._tick())
 
     async def close(self) -> None:
         """Stop at once; cancel what still runs in the engine."""
+        if self._ticker is not None:
+            self._ticker.cancel()
         for attempt in list(self._attempts.values()):
-            self._cancel(attempt, "the sidecar stops")
+            self._cancel(attempt, "the sidecar stops", ErrorKind.BACKEND_FAILED)
         tasks = [attempt.task for attempt in self._attempts.values() if attempt.task]
-        for task in (*self._tasks, *tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, *tasks, return_exceptions=True)
-        for name in list(self._strays):
-            await self._free(name)
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._cache.close()
+        await self._strays.close()
         await self._client.close()
 
     def load(self) -> EngineLoad:
@@ -146,20 +148,9 @@
             long_streams=gate.long_streams,
         )
 
-    def cache_marks_after(self, cursor: int) -> tuple[int, tuple[int, ...], bool]:
-        """Prefixes cached after a cursor.
-
-        Returns:
-            The new cursor, the marks, and whether some before them are lost.
-        """
-        first = self._cache_end - len(self._cache_marks)
-        gap = cursor < first or cursor > self._cache_end
-        skip = 0 if gap else cursor - first
-        return self._cache_end, tuple(self._cache_marks[skip:]), gap
-
     def admit(self, request: RunRequest) -> Attempt | Refused:
         """Ask for admission of a new attempt."""
-        if not self._reachable:
+        if not self.ready:
             return refused(request, ErrorKind.NOT_READY, "the engine doesn't answer")
         if request.hold and not self._holds.stands(request.hold):
             return refused(
@@ -202,30 +193,9 @@
         """The attempt that a request wants to resume."""
         return self._attempts.get(stream_id(request))
 
-    async def frames(self, attempt: Attempt, offset: int) -> AsyncIterator[Frame]:
-        """The frames of an attempt from an offset on, with beats between them."""
-        request_id, number = attempt.request.request_id, attempt.request.attempt
-        attempt.readers += 1
-        try:
-            yield Admitted(request_id, number)
-            while True:
-                changed = attempt.changed
-                texts = attempt.buffer.tokens_from(offset)
-                if texts:
-                    yield Chunk(request_id, number, offset, texts)
-                    offset += len(texts)
-                    continue
-                if attempt.end is not None:
-                    yield attempt.end
-                    return
-                try:
-                    async with asyncio.timeout(self._timing.heartbeat_s):
-                        await changed.wait()
-                except TimeoutError:
-                    yield Beat(request_id, number)
-        finally:
-            attempt.readers -= 1
-            attempt.detached_s = self._clock.elapsed_s()
+    def frames(self, attempt: Attempt, offset: int) -> AsyncIterator[Frame]:
+        """The frames of an attempt from an offset on."""
+        return read_frames(attempt, offset, self._timing, self._clock)
 
     def acknowledge(self, attempt: Attempt, offset: int) -> None:
         """The entry has every token before an offset."""
@@ -239,7 +209,7 @@
         marks = _marks(request)
         generated = request.offset
         prompt_tokens = request.prompt_tokens + generated
-        uncached = max(1, prompt_tokens - self._cache.cached_tokens(marks, now_s))
+        uncached = max(1, prompt_tokens - self._cache.cached_tokens(marks))
         work_class = classify(
             uncached, self._limits.short_tokens, self._limits.long_tokens
         )
@@ -359,29 +329,29 @@
         now_s = self._clock.elapsed_s()
         tokens = attempt.buffer.end_offset - attempt.request.offset
         self._gate.end(attempt.work.request_id, now_s, tokens)
-        if self._reachable:
+        if self.ready:
             self._launch_startable(now_s)
 
     def _launch_startable(self, now_s: float) -> None:
         for work in self._gate.startable(now_s):
             self._launch(self._attempts[work.request_id])
 
-    def _cancel(self, attempt: Attempt, reason: str) -> None:
+    def _cancel(
+        self,
+        attempt: Attempt,
+        reason: str,
+        kind: ErrorKind = ErrorKind.DEADLINE_EXCEEDED,
+    ) -> None:
         if attempt.state is AttemptState.ENDED:
             return
         running = attempt.state is AttemptState.RUNNING
         not_run = NotRun.UNKNOWN if running else NotRun.TRUE
-        attempt.fail(ErrorKind.DEADLINE_EXCEEDED, reason, not_run)
+        attempt.fail(kind, reason, not_run)
         if attempt.task is not None:
             attempt.task.cancel()
         self._ended(attempt)
         if running and not self._holds.owns_stream(attempt.stream_id):
-            self._add_stray(attempt.stream_id, attempt.work.kv_tokens)
-
-    def _add_stray(self, name: str, tokens: int) -> None:
-        """The engine has the stream's memory until it no longer lists the stream."""
-        self._strays.add(name)
-        self._gate.hold(name, tokens)
+            self._strays.add(attempt.stream_id, attempt.work.kv_tokens)
 
     async def _tick(self) -> None:
         while True:
@@ -393,6 +363,7 @@
                 )
             for attempt in list(self._attempts.values()):
                 self._check(attempt, now_s)
+            self._bound_buffers()
             self._holds.end_leases()
             self._launch_startable(now_s)
 
@@ -407,34 +378,15 @@
             self._cancel(attempt, "the deadline has passed")
         elif unread:
             self._cancel(attempt, "its entry has gone")
-        elif attempt.buffer.size_bytes > self._limits.frame_buffer_bytes:
-            self._cancel(attempt, "the entry doesn't read")
 
-    async def _free(self, name: str) -> None:
-        with contextlib.suppress(EngineBroken):
-            await self._client.cancel(name)
-
-    async def _reconcile(self) -> None:
-        """Free what the engine holds and nobody owns."""
-        while True:
-            try:
-                streams = await self._client.streams()
-            except EngineBroken:
-                self._reachable = False
-            else:
-                self._settle_strays(set(streams))
-                if not self._reachable and not self._strays:
-                    self._reachable = True
-                    self._events.record(EventKind.BACKEND_COLD, "the engine answers")
-            for name in list(self._strays):
-                await self._free(name)
-            await asyncio.sleep(_RECONCILE_S if self._reachable else _TICK_S)
-
-    def _settle_strays(self, streams: set[str]) -> None:
-        for name in self._strays - streams:
-            self._gate.free(name)
-        self._strays &= streams
-        self._strays |= {name for name in streams if not self._owned(name)}
+    def _bound_buffers(self) -> None:
+        """Cancel the largest unread answer if all of them together are too large."""
+        attempts = list(self._attempts.values())
+        kept_bytes = sum(attempt.buffer.size_bytes for attempt in attempts)
+        if kept_bytes > self._limits.frame_buffer_bytes:
+            largest = max(attempts, key=lambda attempt: attempt.buffer.size_bytes)
+            self._cancel(largest, "the entry doesn't read")
+            del self._attempts[largest.stream_id]
 
     def _owned(self, name: str) -> bool:
         if self._holds.owns_stream(name):
@@ -442,18 +394,6 @@
         attempt = self._attempts.get(name)
         return attempt is not None and attempt.state is AttemptState.RUNNING
 
-    async def _watch_cache(self) -> None:
-        while True:
-            try:
-                added, removed = await self._client.cache_events()
-            except EngineBroken:
-                added, removed = [], []
-            self._cache.add(added, self._clock.elapsed_s())
-            self._cache.remove(removed)
-            self._cache_end += len(added)
-            self._cache_marks = [*self._cache_marks, *added][-_MARKS_KEPT:]
-            await asyncio.sleep(_CACHE_EVENTS_S)
-
     def _saw_boot(self, boot_id: str) -> None:
         if not boot_id or boot_id == self._boot_id:
             return
@@ -461,9 +401,6 @@
         self._gate.turned_cold()
         self._holds.lost()
         self._cache.clear()
-        self._cache_end += 1 + len(self._cache_marks)
-        self._cache_marks = []
-        self._client.restarted()
         self._events.record(EventKind.BACKEND_COLD, f"boot {boot_id[:8]}")
 
 
--- /dev/null
+++ b/gentianhoist/sidecar/_frames.py
@@ -0,0 +1,56 @@
+"""The frames of one attempt, as one reader gets them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+from gentianhoist.clocks import Clock
+from gentianhoist.settings import TimingSettings
+from gentianhoist.sidecar._attempt import Attempt
+from gentianhoist.wire import Admitted, Beat, Chunk, Frame
+
+
+async def read_frames(
+    attempt: Attempt, offset: int, timing: TimingSettings, clock: Clock
+) -> AsyncIterator[Frame]:
+    """The frames of an attempt from an offset on, with beats between them.
+
+    Args:
+        attempt: The attempt.
+        offset: First token wanted.
+        timing: Periods.
+        clock: This machine's clocks.
+
+    Yields:
+        Frames, the last of which ends the attempt.
+    """
+    request_id, number = attempt.request.request_id, attempt.request.attempt
+    attempt.readers += 1
+    try:
+        yield Admitted(request_id, number)
+        while True:
+            changed = attempt.changed
+            texts = attempt.buffer.tokens_from(offset)
+            if texts:
+                yield Chunk(request_id, number, offset, texts)
+                offset += len(texts)
+                # What comes within a moment goes into one message.
+                await _wait(attempt.ended, timing.coalesce_s)
+            elif attempt.end is not None:
+                yield attempt.end
+                return
+            elif not await _wait(changed, timing.heartbeat_s):
+                yield Beat(request_id, number)
+    finally:
+        attempt.readers -= 1
+        attempt.detached_s = clock.elapsed_s()
+
+
+async def _wait(event: asyncio.Event, most_s: float) -> bool:
+    """Wait for an event for a time; whether it came."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(most_s):
+            return await event.wait()
+    return False
--- a/gentianhoist/sidecar/_grpc.py
+++ b/gentianhoist/sidecar/_grpc.py
@@ -11,7 +11,9 @@
 from gentianhoist.events import EventKind, EventRing
 from gentianhoist.exceptions import ErrorKind, NotRun
 from gentianhoist.sidecar._attempt import Attempt, refused
+from gentianhoist.sidecar._cache_feed import CacheNews
 from gentianhoist.sidecar._engine_runner import EngineRunner
+from gentianhoist.sidecar._orders import OrderRunner
 from gentianhoist.sidecar._service_runner import ServiceRunner
 from gentianhoist.wire import (
     Ack,
@@ -26,6 +28,8 @@
     HoldAction,
     HoldReply,
     HoldRequest,
+    OrderReply,
+    OrderRequest,
     Refused,
     RunMessage,
     RunRequest,
@@ -48,6 +52,7 @@
         events: Its events.
         engine: Runs generations, if its backend server is an engine.
         service: Runs calls, if it is a plain service.
+        orders: Carries out orders, if it is an engine.
     """
 
     def __init__(
@@ -57,12 +62,14 @@
         events: EventRing,
         engine: EngineRunner | None,
         service: ServiceRunner | None,
+        orders: OrderRunner | None,
     ) -> None:
         self._identity = identity
         self._configuration = configuration
         self._events = events
         self._engine = engine
         self._service = service
+        self._orders = orders
         self.leaving = False
 
     async def heartbeat(self, stream: Stream[Heartbeat, HeartbeatReply]) -> None:
@@ -73,19 +80,19 @@
         self._identity.received(message.stamp)
         if message.update is not None and self._configuration.take(message.update):
             self._note_configuration()
-        load, cursor, marks, gap = None, 0, (), False
+        load, news = None, CacheNews(0, (), False)
         if self._engine is not None:
             load = self._engine.load()
-            cursor, marks, gap = self._engine.cache_marks_after(message.cache_cursor)
+            news = self._engine.cache.after(message.cache_cursor)
         await stream.send_message(
             HeartbeatReply(
                 stamp=self._identity.stamp(),
                 leaving=self.leaving or not self._backend_ready(),
                 accepting=False,
                 load=load,
-                cache_cursor=cursor,
-                cache_marks=marks,
-                cache_gap=gap,
+                cache_cursor=news.cursor,
+                cache_marks=news.marks,
+                cache_gap=news.gap,
                 update=self._configuration.update_for(
                     message.stamp.configuration_version
                 ),
@@ -125,6 +132,18 @@
         self._identity.received(request.stamp)
         await stream.send_message(await self._call(request))
 
+    async def order(self, stream: Stream[OrderRequest, OrderReply]) -> None:
+        """Carry out an order to the engine."""
+        request = await stream.recv_message()
+        if request is None:
+            return
+        self._identity.received(request.stamp)
+        if self._orders is None:
+            reply = OrderReply(False, ErrorKind.UNKNOWN_MODEL, "a service stands here")
+        else:
+            reply = await self._orders.run(request)
+        await stream.send_message(reply)
+
     async def hold(self, stream: Stream[HoldRequest, HoldReply]) -> None:
         """Reserve memory, renew the reservation or give it back."""
         request = await stream.recv_message()
--- a/gentianhoist/sidecar/core.py
+++ b/gentianhoist/sidecar/core.py
@@ -19,6 +19,7 @@
 )
 from gentianhoist.sidecar._engine_runner import EngineRunner
 from gentianhoist.sidecar._grpc import SidecarGrpc
+from gentianhoist.sidecar._orders import OrderRunner
 from gentianhoist.sidecar._service_runner import ServiceRunner
 from gentianhoist.store import HttpPlatform
 from gentianhoist.telemetry import Metrics
@@ -67,8 +68,12 @@
         group = deployment.group(settings.group)
         self._engine: EngineRunner | None = None
         self._service: ServiceRunner | None = None
+        self._orders: OrderRunner | None = None
         if group.kind is BackendKind.ENGINE:
             self._engine = self._make_engine_runner(group)
+            self._orders = OrderRunner(
+                self._engine.client, self._platform, self._clock, settings.instance
+            )
         else:
             self._service = self._make_service_runner(group)
         self._grpc = SidecarGrpc(
@@ -77,6 +82,7 @@
             self._events,
             self._engine,
             self._service,
+            self._orders,
         )
         self._server = Server([self._grpc], codec=MsgpackCodec())
         self._reporter: asyncio.Task[None] | None = None
@@ -106,6 +112,8 @@
         await self._platform.start()
         if self._engine is not None:
             await self._engine.start()
+        if self._orders is not None:
+            await self._orders.start()
         if self._service is not None:
             await self._service.start()
         address = self._settings.grpc
@@ -133,6 +141,8 @@
             self._reporter.cancel()
         self._server.close()
         await self._server.wait_closed()
+        if self._orders is not None:
+            await self._orders.close()
         if self._engine is not None:
             await self._engine.close()
         if self._service is not None:
--- a/gentianhoist/wire/_services.py
+++ b/gentianhoist/wire/_services.py
@@ -23,6 +23,8 @@
     HoldRequest,
     LoanReply,
     LoanRequest,
+    OrderReply,
+    OrderRequest,
     RunMessage,
 )
 
@@ -85,6 +87,9 @@
             "Run": Handler(self.run, Cardinality.STREAM_STREAM, RunMessage, Frame),
             "Call": Handler(self.call, Cardinality.UNARY_UNARY, CallRequest, CallReply),
             "Hold": Handler(self.hold, Cardinality.UNARY_UNARY, HoldRequest, HoldReply),
+            "Order": Handler(
+                self.order, Cardinality.UNARY_UNARY, OrderRequest, OrderReply
+            ),
         }
 
     @abc.abstractmethod
@@ -95,6 +100,10 @@
     async def call(self, stream: Stream[CallRequest, CallReply]) -> None:
         """Call the plain service."""
 
+    @abc.abstractmethod
+    async def order(self, stream: Stream[OrderRequest, OrderReply]) -> None:
+        """Carry out an order to the engine."""
+
     @abc.abstractmethod
     async def hold(self, stream: Stream[HoldRequest, HoldReply]) -> None:
         """Reserve memory, renew the reservation or give it back."""
@@ -145,6 +154,7 @@
         )
         self.call = self._unary(channel, "Call", CallRequest, CallReply)
         self.hold = self._unary(channel, "Hold", HoldRequest, HoldReply)
+        self.order = self._unary(channel, "Order", OrderRequest, OrderReply)
 
 
 class EntryStub(_Stub):
--- a/gentianhoist/wire/core.py
+++ b/gentianhoist/wire/core.py
@@ -36,6 +36,9 @@
     "Last",
     "LoanReply",
     "LoanRequest",
+    "OrderKind",
+    "OrderReply",
+    "OrderRequest",
     "Refused",
     "RunMessage",
     "RunRequest",
@@ -388,6 +391,49 @@
     message: str = ""
 
 
+class OrderKind(StrEnum):
+    """What an engine can be told."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    LOAD_ADAPTER = "load_adapter"
+    CHANGE_ROLE = "change_role"
+
+
+class OrderRequest(_Message, frozen=True):
+    """An order to an engine.
+
+    Attributes:
+        stamp: What every message carries.
+        order: What it is told.
+        target: Model, adapter or role.
+        fencing: Number of the giver's lease.
+        deadline_left_s: Seconds until the deadline.
+    """
+
+    stamp: Stamp
+    order: OrderKind
+    target: str
+    fencing: int
+    deadline_left_s: float
+
+
+class OrderReply(_Message, frozen=True):
+    """Whether the order was carried out.
+
+    Attributes:
+        done: Whether it was.
+        kind: Why it wasn't.
+        message: One sentence for a person.
+        not_run: What is known of its execution.
+    """
+
+    done: bool
+    kind: ErrorKind | None = None
+    message: str = ""
+    not_run: NotRun = NotRun.TRUE
+
+
 class LoanRequest(_Message, frozen=True):
     """An entry asks another for a part of its allowance.
 
--- a/tests/capacity/test_core.py
+++ b/tests/capacity/test_core.py
@@ -227,3 +227,18 @@
     gate.offer(_work("waiting", left_s=5.0), 0.0)
     assert gate.late(1.0) == []
     assert [work.request_id for work in gate.late(4.99)] == ["waiting"]
+
+
+def test_engine_that_turned_cold_unannounced_is_noticed_by_its_times():
+    gate = _gate(cold=2, most=2)
+    assert gate.slow_start.warm
+    gate = _gate(cold=2, most=4)
+    while not gate.slow_start.warm:
+        gate.slow_start.succeeded(slowness_ratio=1.0, at_limit=True)
+    for number in range(4):
+        name, begun_s = f"w{number}", 10.0 * number
+        gate.offer(_work(name, 2_000, now_s=begun_s), begun_s)
+        took_s = 2_000 / 25_000.0 * 4
+        gate.first_token(name, begun_s + took_s)
+        gate.end(name, begun_s + 1.0, 10)
+    assert gate.slow_start.limit_streams == 2
