Give streams connections of their own; share an engine fairly by its priorities

Cause 1: an HTTP/2 connection bears 100 streams. Of 1,000 streams on five sidecars 500 were served; the others, and the heartbeats, waited for a place, so the connections were taken for silent and replaced (2,842 resumes). Change: heartbeats have a connection of their own, streams and calls share a pool with at most 80 on each. Cause 2: the gate handed all prompts to the engine at once, where a large organisation's stood before a small one's. Change: organisations that have had more than their share of the last seconds come after the others in the engine's priority, and wait in the gate beyond 8,000 prompt tokens.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -16,6 +16,7 @@
 from benchmarks._lengths import measure_lengths
 from benchmarks._minute import measure_minute
 from benchmarks._operations import measure_operations
+from benchmarks._organisations import measure_organisations
 from benchmarks._overload import measure_overload
 from benchmarks._path import measure_path
 from benchmarks._plot import plot_lengths
@@ -24,6 +25,7 @@
 _EXPERIMENTS: dict[str, Callable[[Figures], Awaitable[None]]] = {
     "path": measure_path,
     "lengths": measure_lengths,
+    "organisations": measure_organisations,
     "operations": measure_operations,
     "calls": measure_calls,
     "minute": measure_minute,
--- /dev/null
+++ b/benchmarks/_organisations.py
@@ -0,0 +1,66 @@
+"""A small organisation beside a large one at ten times its share."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+from benchmarks._figures import Figures
+from benchmarks._load import (
+    Answer,
+    LoadGenerator,
+    Prompt,
+    arrivals,
+    log_uniform,
+    percentile_s,
+)
+from benchmarks._processes import Deployment, Shape
+
+_DURATION_S = 10.0
+_SMALL_PER_S = 5.0
+_LARGE_PER_S = 50.0
+_DEADLINE_S = 4.0
+_SLOWDOWN = 1.10
+
+
+async def measure_organisations(figures: Figures) -> None:
+    """Run the experiment.
+
+    Args:
+        figures: Where the figures go.
+    """
+    rng = random.Random(11)
+    deployment = Deployment(Shape(zones=2, entries=2, engines=4))
+    await deployment.start()
+    try:
+        alone = await _load(deployment, "key-crew").run(_schedule(rng, _SMALL_PER_S))
+        beside, large = await asyncio.gather(
+            _load(deployment, "key-crew").run(_schedule(rng, _SMALL_PER_S)),
+            _load(deployment, "key-club").run(_schedule(rng, _LARGE_PER_S)),
+        )
+    finally:
+        await deployment.close()
+    before_s, after_s = _first_s(alone), _first_s(beside)
+    figures.at_most(
+        "small_organisation_slowdown_ratio", after_s / before_s, "ratio", _SLOWDOWN
+    )
+    figures.plain("small_organisation_ttft_p95_s", after_s, "s")
+    figures.plain("large_organisation_ttft_p95_s", _first_s(large), "s")
+    served = sum(answer.whole for answer in large) / len(large)
+    figures.plain("large_organisation_served_ratio", served, "ratio")
+
+
+def _load(deployment: Deployment, key: str) -> LoadGenerator:
+    urls = [deployment.entry_url(0), deployment.entry_url(1)]
+    return LoadGenerator(urls, {"Authorization": f"Bearer {key}"}, _DEADLINE_S)
+
+
+def _schedule(rng: random.Random, rate_per_s: float) -> list[Prompt]:
+    def _make(due_s: float) -> Prompt:
+        return Prompt(due_s, log_uniform(rng, 1_000, 2_500), 16, "short")
+
+    return arrivals(rng, rate_per_s, _DURATION_S, _make)
+
+
+def _first_s(answers: list[Answer]) -> float:
+    return percentile_s((item.first_s for item in answers if item.whole), 95)
--- a/gentianhoist/capacity/__init__.py
+++ b/gentianhoist/capacity/__init__.py
@@ -1,5 +1,6 @@
 """What one backend server bears: slow start, queue, KV reservations, speeds."""
 
+from gentianhoist.capacity._fair_shares import FairShares
 from gentianhoist.capacity._slow_start import SlowStart
 from gentianhoist.capacity._speed import SpeedEstimate
 from gentianhoist.capacity.core import (
@@ -15,6 +16,7 @@
 
 __all__ = [
     "EngineGate",
+    "FairShares",
     "GatePolicy",
     "Refuse",
     "SlowStart",
--- a/gentianhoist/capacity/core.py
+++ b/gentianhoist/capacity/core.py
@@ -10,6 +10,7 @@
 from enum import IntEnum
 from typing import NamedTuple
 
+from gentianhoist.capacity._fair_shares import FairShares
 from gentianhoist.capacity._slow_start import SlowStart
 from gentianhoist.capacity._speed import SpeedEstimate
 from gentianhoist.exceptions import ErrorKind
@@ -26,6 +27,7 @@
 ]
 
 _MIN_RETRY_AFTER_S = 0.05
+_RANKS = 2
 
 
 class WorkClass(IntEnum):
@@ -95,7 +97,9 @@
     Attributes:
         kv_capacity_tokens: KV memory of the engine.
         long_prefills: Long prompts prefilled at once.
-        shorts_beside_long: Other prompts prefilled at once beside a long one.
+        prefill_tokens: Prompt tokens, of other than long work, that the engine has
+            ahead of it at the most before an organisation that has had more than its
+            share waits here, where the order is fair.
         waiting_streams: Streams that wait at the most.
         ageing_s: Seconds of waiting that raise work by one class.
         classes: Whether length classes count; without them it is first come, first
@@ -104,7 +108,7 @@
 
     kv_capacity_tokens: int
     long_prefills: int = 1
-    shorts_beside_long: int = 8
+    prefill_tokens: int = 8_000
     waiting_streams: int = 256
     ageing_s: float = 15.0
     classes: bool = True
@@ -162,6 +166,7 @@
         self._finish_tags: dict[str, float] = {}
         self._virtual_time = 0.0
         self._held_tokens: dict[str, int] = {}
+        self._shares = FairShares()
 
     @property
     def policy(self) -> GatePolicy:
@@ -233,6 +238,12 @@
         if refusal is not None:
             return refusal
         self._tag(work)
+        self._shares.charge(
+            work.organisation,
+            work.weight,
+            work.uncached_tokens + work.answer_tokens,
+            now_s,
+        )
         self._waiting[work.request_id] = work
         if self._may_start(work, now_s) and self._next(now_s) is work:
             self._start(work, now_s)
@@ -251,6 +262,17 @@
             started.append(work)
         return started
 
+    def priority(self, work: Work, now_s: float) -> int:
+        """Priority that work has in the engine; lower goes first.
+
+        Within a class, organisations that have had more than their share come after
+        the others, which the engine then takes at its next step.
+        """
+        if not self._policy.classes:
+            return work.priority
+        over = self._shares.over_share(work.organisation, now_s)
+        return _RANKS * (work.work_class + work.priority) + int(over)
+
     def first_token(self, request_id: str, now_s: float) -> None:
         """Take note of the first token of running work."""
         item = self._running.get(request_id)
@@ -383,19 +405,24 @@
             return False
         if not self._policy.classes:
             return True
-        return self._prefill_has_room(work)
+        return self._prefill_has_room(work, now_s)
 
-    def _prefill_has_room(self, work: Work) -> bool:
+    def _prefill_has_room(self, work: Work, now_s: float) -> bool:
         prefilling = [
-            item.work.work_class
-            for item in self._running.values()
-            if item.first_token_s is None
+            item for item in self._running.values() if item.first_token_s is None
         ]
-        longs = prefilling.count(WorkClass.LONG)
         if work.work_class is WorkClass.LONG:
+            longs = sum(item.work.work_class is WorkClass.LONG for item in prefilling)
             return longs < self._policy.long_prefills
-        others = len(prefilling) - longs
-        return not longs or others < self._policy.shorts_beside_long
+        ahead = sum(
+            self._prefill_left(item, now_s)
+            for item in prefilling
+            if item.work.work_class is not WorkClass.LONG
+        )
+        if not ahead or ahead + work.uncached_tokens <= self._policy.prefill_tokens:
+            return True
+        # The engine takes the others' work first, by its priority.
+        return not self._shares.over_share(work.organisation, now_s)
 
     def _start(self, work: Work, now_s: float) -> None:
         del self._waiting[work.request_id]
--- a/gentianhoist/entry/_calls.py
+++ b/gentianhoist/entry/_calls.py
@@ -185,7 +185,8 @@
         )
         timed = msgspec.structs.replace(request, deadline_left_s=left_s)
         try:
-            return await link.stub.call(timed, timeout=left_s + _ANSWER_MARGIN_S)
+            with link.streams.use() as line:
+                return await line.stub.call(timed, timeout=left_s + _ANSWER_MARGIN_S)
         except ConnectionRefusedError as error:
             return CallReply(None, ErrorKind.NO_BACKEND_SERVER, str(error), NotRun.TRUE)
         except CONNECTION_ERRORS as error:
--- a/gentianhoist/entry/_completions.py
+++ b/gentianhoist/entry/_completions.py
@@ -11,6 +11,7 @@
 from gentianhoist.clocks import Clock
 from gentianhoist.configuration import Identity
 from gentianhoist.entry._allowance import AllowanceKeeper
+from gentianhoist.entry._channels import Line
 from gentianhoist.entry._directory import Directory
 from gentianhoist.entry._gang import GangDispatcher
 from gentianhoist.entry._jobs import CompletionJob, RequestMaker
@@ -33,6 +34,7 @@
 from gentianhoist.settings import DeploymentSettings
 from gentianhoist.streams import StreamAssembler
 from gentianhoist.telemetry import Metrics
+from gentianhoist.wire import RunRequest
 
 _RESUMES = 3
 _RESUME_PAUSE_S = 0.05
@@ -200,18 +202,14 @@
                     assembler.next_offset,
                     resume=resumes > 0,
                 )
-                stub = link.stub
-                reading = read_stream(
-                    stub, request, assembler, self._silence, link.take_load
-                )
                 try:
-                    async with aclosing(reading) as tokens:
-                        async for texts in tokens:
-                            yield texts
+                    with link.streams.use() as line:
+                        async with aclosing(
+                            self._read(link, line, request, assembler)
+                        ) as tokens:
+                            async for texts in tokens:
+                                yield texts
                 except ConnectionLost as error:
-                    silent = isinstance(error, ConnectionSilent)
-                    if silent and stub is link.stub and not link.alive:
-                        link.replace("a stream is silent")
                     self._note_resume(link, assembler, job, error)
                     await asyncio.sleep(_RESUME_PAUSE_S * resumes)
                 else:
@@ -222,6 +220,24 @@
             ErrorKind.BACKEND_FAILED, f"{link.member.name} is not reachable"
         )
 
+    async def _read(
+        self,
+        link: SidecarLink,
+        line: Line,
+        request: RunRequest,
+        assembler: StreamAssembler,
+    ) -> AsyncIterator[tuple[str, ...]]:
+        reading = read_stream(
+            line.stub, request, assembler, self._silence, link.take_load
+        )
+        try:
+            async with aclosing(reading) as tokens:
+                async for texts in tokens:
+                    yield texts
+        except ConnectionSilent:
+            link.streams.drop(line)
+            raise
+
     def _note_resume(
         self,
         link: SidecarLink,
--- a/gentianhoist/entry/_gang.py
+++ b/gentianhoist/entry/_gang.py
@@ -25,7 +25,7 @@
 from gentianhoist.exceptions import ErrorKind, HoistError
 from gentianhoist.settings import DeploymentSettings, GroupSettings
 from gentianhoist.streams import StreamAssembler
-from gentianhoist.wire import HoldAction, HoldReply, HoldRequest
+from gentianhoist.wire import HoldAction, HoldReply, HoldRequest, RunRequest
 
 _FILL_RATIO = 0.9
 _LEASE_S = 6.0
@@ -263,8 +263,7 @@
     ) -> None:
         attempt = assembler.begin_attempt()
         request = self._requests.make(piece, attempt, "", 0, reserved=reserved)
-        reading = read_stream(part.link.stub, request, assembler, self._silence)
-        async with aclosing(reading) as tokens:
+        async with aclosing(self._stream(part, request, assembler)) as tokens:
             async for _ in tokens:
                 continue
 
@@ -326,7 +325,16 @@
             assembler.next_offset,
             reserved=Reserved(part.hold),
         )
-        return read_stream(part.link.stub, request, assembler, self._silence)
+        return self._stream(part, request, assembler)
+
+    async def _stream(
+        self, part: _Part, request: RunRequest, assembler: StreamAssembler
+    ) -> AsyncIterator[tuple[str, ...]]:
+        with part.link.streams.use() as line:
+            reading = read_stream(line.stub, request, assembler, self._silence)
+            async with aclosing(reading) as tokens:
+                async for texts in tokens:
+                    yield texts
 
     async def _repair(self, job: CompletionJob, parts: Sequence[_Part]) -> None:
         for part in parts[:-1]:
--- a/gentianhoist/entry/_links.py
+++ b/gentianhoist/entry/_links.py
@@ -12,6 +12,7 @@
 
 from gentianhoist.clocks import Clock
 from gentianhoist.configuration import ConfigurationReplica, Identity
+from gentianhoist.entry._channels import ChannelPool
 from gentianhoist.entry._silence import SilenceWatch
 from gentianhoist.events import EventKind, EventRing
 from gentianhoist.membership import Member
@@ -73,7 +74,6 @@
         self._task: asyncio.Task[None] | None = None
         self._channel: Channel | None = None
         self._stub: _Stub | None = None
-        self._heard_s = float("-inf")
         self._nudged = asyncio.Event()
 
     @property
@@ -92,12 +92,6 @@
         """Configuration version that it last had."""
         return self._heard_version
 
-    @property
-    def alive(self) -> bool:
-        """Whether it has answered a heartbeat a moment ago."""
-        silent_s = self._clock.elapsed_s() - self._heard_s
-        return silent_s <= self._period_s + self._timing.silence_s
-
     async def start(self) -> None:
         """Open the connection and keep it alive."""
         self._open()
@@ -161,7 +155,6 @@
     def _take(self, reply: HeartbeatReply, asked_s: float) -> None:
         self._identity.received(reply.stamp)
         self._heard_version = reply.stamp.configuration_version
-        self._heard_s = self._clock.elapsed_s()
         self._on_reply(self._member, reply, asked_s)
 
 
@@ -198,9 +191,20 @@
             silence,
             on_reply,
         )
+        self._streams = ChannelPool(member.host, member.port)
         self._view = BackendView(member.name, member.availability_zone, _UNKNOWN_LOAD)
         self._cursor = 0
 
+    @property
+    def streams(self) -> ChannelPool:
+        """Connections for streams and calls."""
+        return self._streams
+
+    async def close(self) -> None:
+        """Close all connections."""
+        self._streams.close()
+        await super().close()
+
     @property
     def view(self) -> BackendView:
         """What routing knows of it."""
--- a/gentianhoist/sidecar/_engine_runner.py
+++ b/gentianhoist/sidecar/_engine_runner.py
@@ -243,7 +243,7 @@
             request.prompt_tokens + request.offset,
             request.max_tokens,
             request.offset,
-            self._priority(attempt.work),
+            self._gate.priority(attempt.work, self._clock.elapsed_s()),
             tuple((mark.name, mark.tokens) for mark in _marks(request)),
             request.generated,
             request.sampling,
@@ -269,10 +269,6 @@
         finally:
             self._ended(attempt)
 
-    def _priority(self, work: Work) -> int:
-        rank = int(work.work_class) if self._gate.policy.classes else 0
-        return rank + work.priority
-
     async def _read(self, attempt: Attempt, stream: EngineStream) -> bool:
         """Read until the attempt ends; False if the stream should be resumed."""
         try:
--- a/tests/calls/test_at_most_once.py
+++ b/tests/calls/test_at_most_once.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 from collections import Counter
 
 import pytest
@@ -109,6 +110,11 @@
     def __init__(self, world: "_World", index: int) -> None:
         self.member = Member(f"s{index}", Role.SIDECAR, "zone-a", "", 0, "valves")
         self.stub = _Stub(world, index)
+        self.streams = self
+
+    @contextlib.contextmanager
+    def use(self):
+        yield self
 
 
 class _Directory:
--- a/tests/capacity/test_core.py
+++ b/tests/capacity/test_core.py
@@ -184,6 +184,30 @@
     assert [work.request_id for work in gate.startable(11.0)] == ["long"]
 
 
+def test_large_organisation_comes_after_a_small_one_in_the_engine():
+    gate = _gate(cold=16)
+    for number in range(8):
+        large = _work(f"large{number}", organisation="large")
+        gate.offer(large, 0.0)
+    small = _work("small", organisation="small")
+    gate.offer(small, 0.0)
+    assert gate.priority(small, 0.0) < gate.priority(large, 0.0)
+    long = _work("long", 60_000, organisation="small")
+    assert gate.priority(long, 0.0) > gate.priority(large, 0.0)
+
+
+def test_engine_gets_few_prompts_ahead():
+    """What waits in the engine can't be put in a fair order any more."""
+    gate = _gate(cold=32, most=64)
+    gate.offer(_work("small0", organisation="small"), 0.0)
+    for number in range(16):
+        gate.offer(_work(f"large{number}", 2_000, organisation="large"), 0.0)
+    assert len(gate.running_ids) <= 5
+    assert isinstance(gate.offer(_work("small1", organisation="small"), 0.0), Start)
+    gate.first_token("large0", 0.1)
+    assert len(gate.startable(0.1)) >= 1
+
+
 def test_organisations_share_by_weight():
     """A large organisation's backlog does not delay a small one's request."""
     gate = _gate(cold=1, most=1)
