Show a million tokens in the demo; tell loads with the last frame too; split files

Cause: the demo did not show the longest prompts; an entry knew nothing of the other entries' requests for up to a second; the wire's and the gate's modules had several jobs. Change: a prompt of 1,000,000 tokens runs on a gang in the demo; the last frame of an answer carries the engine's load; short work avoids an engine that has a long prompt in its step; a settled holder of a share renews every minute (1,000 entries would have written one row 200 times a second).

--- a/gentianhoist/capacity/__init__.py
+++ b/gentianhoist/capacity/__init__.py
@@ -3,8 +3,8 @@
 from gentianhoist.capacity._fair_shares import FairShares
 from gentianhoist.capacity._slow_start import SlowStart
 from gentianhoist.capacity._speed import SpeedEstimate
-from gentianhoist.capacity.core import (
-    EngineGate,
+from gentianhoist.capacity._work import (
+    Decision,
     GatePolicy,
     Refuse,
     Start,
@@ -13,8 +13,10 @@
     WorkClass,
     classify,
 )
+from gentianhoist.capacity.core import EngineGate
 
 __all__ = [
+    "Decision",
     "EngineGate",
     "FairShares",
     "GatePolicy",
--- a/gentianhoist/demo/core.py
+++ b/gentianhoist/demo/core.py
@@ -11,15 +11,22 @@
 
 from gentianhoist.calls import new_key
 from gentianhoist.demo._fleet import EmbeddedFleet, FleetPlan
-from gentianhoist.standins import expected_texts
+from gentianhoist.standins import EngineProfile, expected_texts
 
 __all__ = ["run_demo"]
 
 _SHORT_PROMPT = "Plan the flooding of sheet two at -14 degrees. "
 _SHORT_REPEATS = 80
-_LONG_REPEATS = 9_000
+_LONG_REPEATS = 30_000
+_MILLION_TOKENS = 1_000_000
 _SHORTS = 24
 _TOKENS = 24
+_FREE_POLLS = 40
+_FREE_POLL_S = 0.05
+
+
+# Fast engines, so that the longest prompt takes seconds and not a minute.
+_FAST = EngineProfile(chunk_tokens=2_048, prefill_tokens_per_s=120_000.0)
 
 
 class _Finding(NamedTuple):
@@ -85,7 +92,7 @@
     Returns:
         Whether everything was as it should be.
     """
-    fleet = EmbeddedFleet(FleetPlan())
+    fleet = EmbeddedFleet(FleetPlan(profile=_FAST))
     print("gentianhoist demo: 2 availability zones, 2 entries, 4 model engines,")
     print("2 plain services and the platform, all stand-ins, on loopback HTTP\n")
     await fleet.start()
@@ -95,6 +102,7 @@
             findings = [
                 await _show_answer(caller),
                 await _show_short_beside_long(caller),
+                await _show_gang(caller, fleet),
                 await _show_call(caller, fleet),
                 await _show_zone(caller, fleet),
             ]
@@ -146,6 +154,33 @@
     return sorted(times)[len(times) // 2]
 
 
+async def _show_gang(caller: _Caller, fleet: EmbeddedFleet) -> _Finding:
+    prompt = "All seasons. " + _SHORT_PROMPT * (4 * _MILLION_TOKENS // 47)
+    prompt = prompt[: 4 * _MILLION_TOKENS]
+    begun_s = time.monotonic()
+    text, _ = await caller.complete(prompt)
+    took_s = time.monotonic() - begun_s
+    whole = text == "".join(expected_texts(prompt, _TOKENS))
+    left = await _streams_left(fleet)
+    return _Finding(
+        "a prompt of 1,000,000 tokens on engines that hold 400,000 each",
+        whole and not left,
+        f"whole answer from a gang of three after {took_s:.0f} s,"
+        f" {left} streams left in the engines",
+    )
+
+
+async def _streams_left(fleet: EmbeddedFleet) -> int:
+    """Streams that the engines still hold when they have had a moment to free them."""
+    left = 0
+    for _ in range(_FREE_POLLS):
+        left = sum(len(engine.model.stream_ids) for engine in fleet.engines)
+        if not left:
+            break
+        await asyncio.sleep(_FREE_POLL_S)
+    return left
+
+
 async def _show_call(caller: _Caller, fleet: EmbeddedFleet) -> _Finding:
     key = new_key()
     answers = await asyncio.gather(
--- a/gentianhoist/entry/_allowance.py
+++ b/gentianhoist/entry/_allowance.py
@@ -6,7 +6,13 @@
 import logging
 import random
 
-from gentianhoist.allowance import Allowance, Amount, PeerReport, ShareLease
+from gentianhoist.allowance import (
+    WHOLE_PPM,
+    Allowance,
+    Amount,
+    PeerReport,
+    ShareLease,
+)
 from gentianhoist.clocks import Clock
 from gentianhoist.configuration import Identity
 from gentianhoist.entry._directory import Directory
@@ -21,7 +27,8 @@
 _LOG = logging.getLogger(__name__)
 
 _RENEW_S = 5.0
-_RETRY_S = 0.5
+_SETTLED_RENEW_S = 60.0
+_LOOK_S = 0.5
 _STARTING_S = 10.0
 _LOAN_PART = 0.02
 _LENDERS = 3
@@ -177,15 +184,29 @@
         )
 
     async def _renew(self) -> None:
-        share_ppm = 0
+        share_ppm, holders = 0, 0
+        renewed_s = float("-inf")
         while True:
-            pause_s = _RENEW_S
-            try:
-                await self._lease.renew(self._expected_holders())
-            except (StoreUnavailable, StoreInDoubt, ConditionFailed) as error:
-                _LOG.debug("the share is not renewed: %s", error)
-                pause_s = _RETRY_S
+            now_s = self._clock.elapsed_s()
+            news = holders != self._expected_holders()
+            if news or now_s - renewed_s >= self._renew_period_s(share_ppm):
+                holders = self._expected_holders()
+                if await self._try_renew(holders):
+                    renewed_s = now_s
             if self.share_ppm != share_ppm:
                 share_ppm = self.share_ppm
                 self._events.record(EventKind.SHARE_CHANGED, f"{share_ppm} ppm")
-            await asyncio.sleep(pause_s * random.uniform(0.8, 1.2))
+            await asyncio.sleep(_LOOK_S * random.uniform(0.8, 1.2))
+
+    def _renew_period_s(self, share_ppm: int) -> float:
+        """A holder that has its equal share renews seldom, as the store is shared."""
+        settled = share_ppm and share_ppm == WHOLE_PPM // self._expected_holders()
+        return _SETTLED_RENEW_S if settled else _RENEW_S
+
+    async def _try_renew(self, holders: int) -> bool:
+        try:
+            await self._lease.renew(holders)
+        except (StoreUnavailable, StoreInDoubt, ConditionFailed) as error:
+            _LOG.debug("the share is not renewed: %s", error)
+            return False
+        return True
--- a/gentianhoist/entry/_stream_reader.py
+++ b/gentianhoist/entry/_stream_reader.py
@@ -26,6 +26,7 @@
     Cancel,
     EngineLoad,
     Frame,
+    Last,
     Refused,
     RunMessage,
     RunRequest,
@@ -99,7 +100,7 @@
                     silence.heard(watch)
                     if frame is None:
                         raise ConnectionLost("the stream broke off")
-                    if isinstance(frame, Admitted):
+                    if isinstance(frame, Admitted | Last) and frame.load is not None:
                         on_load(frame.load)
                     texts = _take(assembler, frame)
                     if texts is None:
--- a/gentianhoist/routing/_estimate.py
+++ b/gentianhoist/routing/_estimate.py
@@ -11,6 +11,7 @@
 from gentianhoist.wire import EngineLoad
 
 _COLD_WAIT_S = 0.5
+_LONG_STEP_S = 0.025
 
 
 class Demand(NamedTuple):
@@ -109,6 +110,11 @@
     uncached = max(1, demand.prompt_tokens - cached)
     ahead = view.ahead_tokens(demand.work_class, now_s)
     prefill_s = (ahead + uncached) / load.prefill_tokens_per_s
+    if demand.work_class is not WorkClass.LONG and (
+        view.ahead_tokens(WorkClass.LONG, now_s) > ahead
+    ):
+        # The step that the engine is at has a part of a long prompt in it.
+        prefill_s += _LONG_STEP_S
     return view.network_s + load.decode_step_s + prefill_s + _place_wait_s(view)
 
 
--- a/gentianhoist/sidecar/_engine_runner.py
+++ b/gentianhoist/sidecar/_engine_runner.py
@@ -195,7 +195,7 @@
 
     def frames(self, attempt: Attempt, offset: int) -> AsyncIterator[Frame]:
         """The frames of an attempt from an offset on."""
-        return read_frames(attempt, offset, self.load(), self._timing, self._clock)
+        return read_frames(attempt, offset, self.load, self._timing, self._clock)
 
     def acknowledge(self, attempt: Attempt, offset: int) -> None:
         """The entry has every token before an offset."""
--- a/gentianhoist/sidecar/_frames.py
+++ b/gentianhoist/sidecar/_frames.py
@@ -4,18 +4,28 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
+
+import msgspec
 
 from gentianhoist.clocks import Clock
 from gentianhoist.settings import TimingSettings
 from gentianhoist.sidecar._attempt import Attempt
-from gentianhoist.wire import Admitted, Beat, Chunk, EngineLoad, Frame
+from gentianhoist.wire import (
+    Admitted,
+    Beat,
+    Chunk,
+    EngineLoad,
+    Frame,
+    Last,
+    Refused,
+)
 
 
 async def read_frames(
     attempt: Attempt,
     offset: int,
-    load: EngineLoad,
+    load: Callable[[], EngineLoad],
     timing: TimingSettings,
     clock: Clock,
 ) -> AsyncIterator[Frame]:
@@ -24,7 +34,7 @@
     Args:
         attempt: The attempt.
         offset: First token wanted.
-        load: What the entry is told of the engine on this occasion.
+        load: What the entry is told of the engine with the first and last frame.
         timing: Periods.
         clock: This machine's clocks.
 
@@ -34,7 +44,7 @@
     request_id, number = attempt.request.request_id, attempt.request.attempt
     attempt.readers += 1
     try:
-        yield Admitted(request_id, number, load)
+        yield Admitted(request_id, number, load())
         while True:
             changed = attempt.changed
             texts = attempt.buffer.tokens_from(offset)
@@ -44,7 +54,7 @@
                 # What comes within a moment goes into one message.
                 await _wait(attempt.ended, timing.coalesce_s)
             elif attempt.end is not None:
-                yield attempt.end
+                yield _with_load(attempt.end, load())
                 return
             elif not await _wait(changed, timing.stream_beat_s):
                 yield Beat(request_id, number)
@@ -53,6 +63,14 @@
         attempt.detached_s = clock.elapsed_s()
 
 
+def _with_load(end: Last | Refused, load: EngineLoad) -> Last | Refused:
+    match end:
+        case Last():
+            return msgspec.structs.replace(end, load=load)
+        case Refused():
+            return end
+
+
 async def _wait(event: asyncio.Event, most_s: float) -> bool:
     """Wait for an event for a time; whether it came."""
     with contextlib.suppress(TimeoutError):
--- a/gentianhoist/wire/__init__.py
+++ b/gentianhoist/wire/__init__.py
@@ -1,44 +1,52 @@
 """Messages and services between gentianhoist's own processes."""
 
-from gentianhoist.wire._codec import MsgpackCodec, decode, encode
-from gentianhoist.wire._services import (
-    EntryService,
-    EntryStub,
-    SidecarService,
-    SidecarStub,
-    open_channel,
-)
-from gentianhoist.wire.core import (
-    Ack,
-    Admitted,
-    Beat,
+from gentianhoist.wire._calls import (
     CallOutcome,
     CallReply,
     CallRequest,
-    Cancel,
-    Chunk,
+)
+from gentianhoist.wire._codec import MsgpackCodec, decode, encode
+from gentianhoist.wire._control import (
     ConfigurationUpdate,
-    EngineLoad,
     EventsReply,
     EventsRequest,
-    Frame,
     Heartbeat,
     HeartbeatReply,
+    LoanReply,
+    LoanRequest,
+    Spending,
+)
+from gentianhoist.wire._engine import (
     HoldAction,
     HoldReply,
     HoldRequest,
-    Last,
-    LoanReply,
-    LoanRequest,
     OrderKind,
     OrderReply,
     OrderRequest,
+)
+from gentianhoist.wire._generation import (
+    Ack,
+    Admitted,
+    Beat,
+    Cancel,
+    Chunk,
+    EngineLoad,
+    Frame,
+    Last,
     Refused,
     RunMessage,
     RunRequest,
-    Spending,
+)
+from gentianhoist.wire._message import (
     Stamp,
 )
+from gentianhoist.wire._services import (
+    EntryService,
+    EntryStub,
+    SidecarService,
+    SidecarStub,
+    open_channel,
+)
 
 __all__ = [
     "Ack",
--- /dev/null
+++ b/gentianhoist/wire/_engine.py
@@ -0,0 +1,91 @@
+"""Messages about an engine's memory and orders to it."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from gentianhoist.exceptions import ErrorKind, NotRun
+from gentianhoist.wire._message import Message, Stamp
+
+
+class HoldAction(StrEnum):
+    """What an entry wants of a reservation."""
+
+    RESERVE = "reserve"
+    RENEW = "renew"
+    RELEASE = "release"
+
+
+class HoldRequest(Message, frozen=True):
+    """Reserve an engine's memory under a lease, renew the lease or give it back.
+
+    Attributes:
+        stamp: What every message carries.
+        action: What is wanted.
+        hold: Name of the reservation.
+        tokens: Memory wanted.
+        lease_s: Seconds that the lease lasts.
+    """
+
+    stamp: Stamp
+    action: HoldAction
+    hold: str
+    tokens: int
+    lease_s: float
+
+
+class HoldReply(Message, frozen=True):
+    """Whether the reservation stands after the request.
+
+    Attributes:
+        stands: Whether it does.
+        kind: Why it doesn't.
+        message: One sentence for a person.
+    """
+
+    stands: bool
+    kind: ErrorKind | None = None
+    message: str = ""
+
+
+class OrderKind(StrEnum):
+    """What an engine can be told."""
+
+    LOAD_MODEL = "load_model"
+    UNLOAD_MODEL = "unload_model"
+    LOAD_ADAPTER = "load_adapter"
+    CHANGE_ROLE = "change_role"
+
+
+class OrderRequest(Message, frozen=True):
+    """An order to an engine.
+
+    Attributes:
+        stamp: What every message carries.
+        order: What it is told.
+        target: Model, adapter or role.
+        fencing: Number of the giver's lease.
+        deadline_left_s: Seconds until the deadline.
+    """
+
+    stamp: Stamp
+    order: OrderKind
+    target: str
+    fencing: int
+    deadline_left_s: float
+
+
+class OrderReply(Message, frozen=True):
+    """Whether the order was carried out.
+
+    Attributes:
+        done: Whether it was.
+        kind: Why it wasn't.
+        message: One sentence for a person.
+        not_run: What is known of its execution.
+    """
+
+    done: bool
+    kind: ErrorKind | None = None
+    message: str = ""
+    not_run: NotRun = NotRun.TRUE
--- a/gentianhoist/wire/_services.py
+++ b/gentianhoist/wire/_services.py
@@ -10,21 +10,27 @@
 from grpclib.const import Cardinality, Handler
 from grpclib.server import Stream
 
-from gentianhoist.wire._codec import MsgpackCodec
-from gentianhoist.wire.core import (
+from gentianhoist.wire._calls import (
     CallReply,
     CallRequest,
+)
+from gentianhoist.wire._codec import MsgpackCodec
+from gentianhoist.wire._control import (
     EventsReply,
     EventsRequest,
-    Frame,
     Heartbeat,
     HeartbeatReply,
-    HoldReply,
-    HoldRequest,
     LoanReply,
     LoanRequest,
+)
+from gentianhoist.wire._engine import (
+    HoldReply,
+    HoldRequest,
     OrderReply,
     OrderRequest,
+)
+from gentianhoist.wire._generation import (
+    Frame,
     RunMessage,
 )
 
--- /dev/null
+++ b/tests/callers.py
@@ -0,0 +1,37 @@
+"""What tests of the whole path send, as callers do."""
+
+import aiohttp
+
+from gentianhoist.demo import EmbeddedFleet
+
+
+async def complete(
+    fleet: EmbeddedFleet, prompt: str, entry: int = 0, tokens: int = 40
+) -> tuple[int, str]:
+    """A generation: status, and the whole answer or the code of the error."""
+    headers = {"Authorization": f"Bearer {fleet.organisation_key}"}
+    body = {"model": "planner", "prompt": prompt, "max_tokens": tokens}
+    async with aiohttp.ClientSession() as session:
+        async with session.post(
+            f"{fleet.entry_url(entry)}/v1/completions", json=body, headers=headers
+        ) as response:
+            content = await response.json()
+    if response.status != 200:
+        return response.status, content["error"]["code"]
+    return 200, content["choices"][0]["text"]
+
+
+async def call(fleet: EmbeddedFleet, key: str, entry: int = 0) -> tuple[int, dict]:
+    """A valve command under a key: status and body."""
+    headers = {
+        "Authorization": f"Bearer {fleet.organisation_key}",
+        "Idempotency-Key": key,
+        "X-Deadline-S": "1.5",
+    }
+    async with aiohttp.ClientSession() as session:
+        async with session.post(
+            f"{fleet.entry_url(entry)}/v1/services/valve-control/flood",
+            data=b"sheet 2",
+            headers=headers,
+        ) as response:
+            return response.status, await response.json()
--- a/tests/entry/test_failures.py
+++ b/tests/entry/test_failures.py
@@ -8,6 +8,7 @@
 from gentianhoist.calls import new_key
 from gentianhoist.demo import EmbeddedFleet, FleetPlan
 from gentianhoist.standins import expected_texts
+from tests.callers import call, complete
 from tests.cutting_proxy import CuttingProxy
 
 _TOKENS = 150
@@ -22,40 +23,10 @@
     await running.close()
 
 
-async def _complete(
-    fleet: EmbeddedFleet, prompt: str, entry: int = 0, tokens: int = _TOKENS
-) -> tuple[int, str]:
-    headers = {"Authorization": f"Bearer {fleet.organisation_key}"}
-    body = {"model": "planner", "prompt": prompt, "max_tokens": tokens}
-    async with aiohttp.ClientSession() as session:
-        async with session.post(
-            f"{fleet.entry_url(entry)}/v1/completions", json=body, headers=headers
-        ) as response:
-            content = await response.json()
-    if response.status != 200:
-        return response.status, content["error"]["code"]
-    return 200, content["choices"][0]["text"]
-
-
-async def _call(fleet: EmbeddedFleet, key: str, entry: int = 0) -> tuple[int, dict]:
-    headers = {
-        "Authorization": f"Bearer {fleet.organisation_key}",
-        "Idempotency-Key": key,
-        "X-Deadline-S": "1.5",
-    }
-    async with aiohttp.ClientSession() as session:
-        async with session.post(
-            f"{fleet.entry_url(entry)}/v1/services/valve-control/flood",
-            data=b"sheet 2",
-            headers=headers,
-        ) as response:
-            return response.status, await response.json()
-
-
 async def _begun(fleet: EmbeddedFleet, count: int) -> list[asyncio.Task]:
     """Start answers, and wait until all of them are in progress."""
     tasks = [
-        asyncio.create_task(_complete(fleet, f"Ice log {number}", number % 2))
+        asyncio.create_task(complete(fleet, f"Ice log {number}", number % 2, _TOKENS))
         for number in range(count)
     ]
     async with asyncio.timeout(5):
@@ -96,7 +67,7 @@
     tasks = await _begun(own_fleet, 8)
     await own_fleet.sidecars[0].drain()
     await _whole(tasks)
-    status, _ = await _complete(own_fleet, "After the stop", tokens=5)
+    status, _ = await complete(own_fleet, "After the stop", tokens=5)
     assert status == 200
     assert own_fleet.sidecars[0].engine.in_progress == 0
 
@@ -108,7 +79,7 @@
     async with aiohttp.ClientSession() as session:
         async with session.get(f"{own_fleet.entry_url(0)}/readyz") as response:
             assert response.status == 503
-    assert await _complete(own_fleet, "Late", 0) == (503, "leaving")
+    assert await complete(own_fleet, "Late", 0) == (503, "leaving")
     await _whole(tasks)
     await draining
 
@@ -139,7 +110,7 @@
     """An engine that ignores a cancel is told again until its memory is free."""
     for engine in own_fleet.engines:
         engine.faults.ignore_cancels = True
-    task = asyncio.create_task(_complete(own_fleet, "Long", tokens=5_000))
+    task = asyncio.create_task(complete(own_fleet, "Long", tokens=5_000))
     await asyncio.sleep(0.3)
     task.cancel()
     await asyncio.sleep(1.0)
@@ -166,7 +137,7 @@
             await asyncio.sleep(0.02)
     before = [engine.model._orders for engine in own_fleet.engines]
     for number in range(12):
-        status, _ = await _complete(own_fleet, f"New {number}", number % 2, 5)
+        status, _ = await complete(own_fleet, f"New {number}", number % 2, 5)
         assert status == 200
     after = [engine.model._orders for engine in own_fleet.engines]
     assert after[1] == before[1]
@@ -178,19 +149,19 @@
     own_fleet.platform.faults.down = True
     await asyncio.sleep(2.0)
     for number in range(10):
-        status, text = await _complete(own_fleet, f"Out {number}", number % 2, 5)
+        status, text = await complete(own_fleet, f"Out {number}", number % 2, 5)
         assert status == 200, text
 
 
 async def test_store_out_refuses_calls_with_the_truth(own_fleet):
     own_fleet.platform.faults.down = True
     key = new_key()
-    status, content = await _call(own_fleet, key)
+    status, content = await call(own_fleet, key)
     assert status in (503, 504)
     # The key may have been sent before, and nobody can look.
     assert content["error"]["not_run"] == "unknown"
     own_fleet.platform.faults.down = False
-    status, content = await _call(own_fleet, key, 1)
+    status, content = await call(own_fleet, key, 1)
     assert (status, content.get("executions")) == (200, 1), content
 
 
@@ -198,11 +169,11 @@
     for service in own_fleet.services:
         service.faults.silent = True
     key = new_key()
-    status, content = await _call(own_fleet, key)
+    status, content = await call(own_fleet, key)
     assert (status, content["error"]["code"]) == (504, "outcome_unknown")
     for service in own_fleet.services:
         service.faults.silent = False
-    status, content = await _call(own_fleet, key, 1)
+    status, content = await call(own_fleet, key, 1)
     assert (status, content["error"]["code"]) == (504, "outcome_unknown")
     assert sum(service.executions[key] for service in own_fleet.services) == 1
 
@@ -211,7 +182,7 @@
     for service in own_fleet.services:
         service.faults.delay_s = 1.0
     key = new_key()
-    task = asyncio.create_task(_call(own_fleet, key))
+    task = asyncio.create_task(call(own_fleet, key))
     async with asyncio.timeout(3):
         while not sum(service.executions[key] for service in own_fleet.services):
             await asyncio.sleep(0.01)
@@ -227,6 +198,6 @@
     await own_fleet.sidecars[index].start()
     await asyncio.sleep(0.6)
     for entry in (0, 1):
-        status, content = await _call(own_fleet, key, entry)
+        status, content = await call(own_fleet, key, entry)
         assert content["error"]["not_run"] == "unknown"
     assert sum(service.executions[key] for service in own_fleet.services) == 1
--- a/tests/entry/test_gang.py
+++ b/tests/entry/test_gang.py
@@ -2,11 +2,11 @@
 
 import asyncio
 
-import aiohttp
 import pytest_asyncio
 
 from gentianhoist.demo import EmbeddedFleet, FleetPlan
 from gentianhoist.standins import EngineProfile, expected_texts
+from tests.callers import complete
 
 _TOKENS = 40
 _FAST = EngineProfile(
@@ -29,19 +29,6 @@
     return (f"Season review {serial}. " + "Sheet log. " * tokens)[: tokens * 4]
 
 
-async def _complete(fleet: EmbeddedFleet, prompt: str, entry: int = 0) -> tuple:
-    headers = {"Authorization": f"Bearer {fleet.organisation_key}"}
-    body = {"model": "planner", "prompt": prompt, "max_tokens": _TOKENS}
-    async with aiohttp.ClientSession() as session:
-        async with session.post(
-            f"{fleet.entry_url(entry)}/v1/completions", json=body, headers=headers
-        ) as response:
-            content = await response.json()
-    if response.status != 200:
-        return response.status, content["error"]["code"]
-    return 200, content["choices"][0]["text"]
-
-
 async def _nothing_is_left(fleet: EmbeddedFleet) -> None:
     async with asyncio.timeout(5):
         while any(engine.model.stream_ids for engine in fleet.engines) or any(
@@ -60,7 +47,7 @@
 
 async def test_whole_answer_and_nothing_left(small_engines):
     prompt = _prompt(1)
-    assert await _complete(small_engines, prompt) == (
+    assert await complete(small_engines, prompt) == (
         200,
         "".join(expected_texts(prompt, _TOKENS)),
     )
@@ -71,7 +58,7 @@
     """Four engines bear one gang of three at a time: the other ends or is refused."""
     async with asyncio.timeout(30):
         answers = await asyncio.gather(
-            *(_complete(small_engines, _prompt(n), n % 2) for n in range(4))
+            *(complete(small_engines, _prompt(n), n % 2) for n in range(4))
         )
     assert any(status == 200 for status, _ in answers)
     for number, (status, text) in enumerate(answers):
@@ -84,7 +71,7 @@
 
 async def test_engine_that_dies_midway_is_replaced(small_engines):
     prompt = _prompt(5)
-    task = asyncio.create_task(_complete(small_engines, prompt))
+    task = asyncio.create_task(complete(small_engines, prompt))
     async with asyncio.timeout(10):
         while len(_busy(small_engines)) < 2:
             await asyncio.sleep(0.01)
@@ -97,7 +84,7 @@
 
 
 async def test_dead_entry_frees_its_gang(small_engines):
-    task = asyncio.create_task(_complete(small_engines, _prompt(6)))
+    task = asyncio.create_task(complete(small_engines, _prompt(6)))
     async with asyncio.timeout(10):
         while not _busy(small_engines):
             await asyncio.sleep(0.01)
--- a/tests/routing/test_core.py
+++ b/tests/routing/test_core.py
@@ -58,6 +58,12 @@
     assert _rank(views, now_s=now_s)[0].name == "s1"
 
 
+def test_short_work_avoids_an_engine_with_a_long_prompt():
+    views = _views(0, 0)
+    views[0].heard(EngineLoad("b", 16, 1, 0, 0, 90_000, 100_000, _RATE, 0.01, 1), 0.0)
+    assert {_rank(views)[0].name for _ in range(20)} == {"s1"}
+
+
 def test_old_load_has_been_worked_off():
     view = _views(10_000)[0]
     fresh_s = expected_first_token_s(view, _SHORT, 0.0)
