--- a/benchmarks/_operations.py
+++ b/benchmarks/_operations.py
@@ -120,6 +120,7 @@
         for event in await operator.events()
         if event[2] == "zone-b" and event[3] == "work_admitted"
     ]
+    assert any(moment < out_us for moment in admitted_us), "zone-b never had work"
     during = [moment for moment in admitted_us if out_us < moment < back_us]
     last_s = max([0.0, *((moment - out_us) / _MICROSECONDS_PER_S for moment in during)])
     after = [moment for moment in admitted_us if moment > back_us]
--- a/gentianhoist/backends/_engine.py
+++ b/gentianhoist/backends/_engine.py
@@ -11,7 +11,6 @@
     EngineBroken,
     EngineEnded,
     EngineRefused,
-    EngineReport,
     EngineSilent,
     EngineStream,
     EngineTokens,
@@ -121,13 +120,6 @@
         self._on_boot(listed.boot_id)
         return listed.streams
 
-    async def report(self) -> EngineReport:
-        """The load report, which lags. Raises as `cancel` does."""
-        data = await self._ask("GET", "/v1/load")
-        report = EngineReport(**msgspec.json.decode(data))
-        self._on_boot(report.boot_id)
-        return report
-
     async def cache_events(self) -> tuple[list[int], list[int]]:
         """Names of prefixes newly cached and newly dropped. Raises as `cancel` does."""
         data = await self._ask("GET", f"/v1/cache-events?after={self._cache_cursor}")
--- a/gentianhoist/backends/core.py
+++ b/gentianhoist/backends/core.py
@@ -4,7 +4,6 @@
 
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
-from typing import NamedTuple
 
 import msgspec
 
@@ -12,7 +11,6 @@
     "EngineBroken",
     "EngineEnded",
     "EngineRefused",
-    "EngineReport",
     "EngineSilent",
     "EngineStream",
     "EngineTokens",
@@ -74,20 +72,6 @@
 EngineStream = AsyncIterator[EngineTokens | EngineEnded]
 
 
-class EngineReport(NamedTuple):
-    """What an engine says of itself, with a lag.
-
-    Attributes:
-        boot_id: Its present boot.
-        streams: Number of its streams.
-        kv_free_tokens: Free KV memory.
-    """
-
-    boot_id: str
-    streams: int
-    kv_free_tokens: int
-
-
 class EngineRefused(Exception):
     """The engine did not take the work.
 
--- a/gentianhoist/entry/_gang.py
+++ b/gentianhoist/entry/_gang.py
@@ -25,7 +25,13 @@
 from gentianhoist.exceptions import ErrorKind, HoistError
 from gentianhoist.settings import DeploymentSettings, GroupSettings
 from gentianhoist.streams import StreamAssembler
-from gentianhoist.wire import HoldAction, HoldReply, HoldRequest, RunRequest
+from gentianhoist.wire import (
+    HoldAction,
+    HoldReply,
+    HoldRequest,
+    RunRequest,
+    exported_object,
+)
 
 _FILL_RATIO = 0.9
 _LEASE_S = 6.0
@@ -250,7 +256,7 @@
                 part.lost = True
             else:
                 part.ready = True
-                part.exported_object = f"kv-{part.hold}"
+                part.exported_object = exported_object(part.hold)
                 return
         raise HoistError(ErrorKind.BACKEND_FAILED, f"part {part.index} keeps failing")
 
--- a/gentianhoist/events/core.py
+++ b/gentianhoist/events/core.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -28,12 +27,10 @@
     WORK_REFUSED = "work_refused"
     STREAM_RESUMED = "stream_resumed"
     CONNECTION_REPLACED = "connection_replaced"
-    CALL_INTENT = "call_intent"
     CALL_EXECUTED = "call_executed"
     CALL_VOIDED = "call_voided"
     BACKEND_COLD = "backend_cold"
     BACKEND_LIMIT = "backend_limit"
-    CONFIGURATION_ACCEPTED = "configuration_accepted"
     CONFIGURATION_APPLIED = "configuration_applied"
     CONFIGURATION_UNCONFIRMED = "configuration_unconfirmed"
     SHARE_CHANGED = "share_changed"
@@ -117,7 +114,3 @@
     def snapshot(self, since_us: int = 0) -> list[Event]:
         """The events kept, oldest first, from a wall time in microseconds on."""
         return [event for event in self._ring if event.time.wall_us >= since_us]
-
-    def extend(self, events: Iterable[Event]) -> None:
-        """Append events recorded elsewhere, for a collector."""
-        self._ring.extend(events)
--- a/gentianhoist/exceptions.py
+++ b/gentianhoist/exceptions.py
@@ -15,7 +15,6 @@
     "Answer",
     "ErrorKind",
     "HoistError",
-    "HoistWarning",
     "NotRun",
     "SettingsError",
 ]
@@ -174,7 +173,3 @@
         self.file = file
         self.path = path
         self.expected = expected
-
-
-class HoistWarning(UserWarning):
-    """Something that works now and will stop working in a later version."""
--- a/gentianhoist/sidecar/_cache_feed.py
+++ b/gentianhoist/sidecar/_cache_feed.py
@@ -19,12 +19,10 @@
     Attributes:
         cursor: Its new cursor.
         marks: Names of prefixes newly cached.
-        gap: Whether some before them are lost.
     """
 
     cursor: int
     marks: tuple[int, ...]
-    gap: bool
 
 
 class CacheFeed:
@@ -61,7 +59,7 @@
         first = self._end - len(self._marks)
         gap = not first <= cursor <= self._end
         skip = 0 if gap else cursor - first
-        return CacheNews(self._end, tuple(self._marks[skip:]), gap)
+        return CacheNews(self._end, tuple(self._marks[skip:]))
 
     def clear(self) -> None:
         """The engine has a new boot: its cache is empty, its cursors begin anew."""
--- a/gentianhoist/sidecar/_grpc.py
+++ b/gentianhoist/sidecar/_grpc.py
@@ -80,7 +80,7 @@
         self._identity.received(message.stamp)
         if message.update is not None and self._configuration.take(message.update):
             self._note_configuration()
-        load, news = None, CacheNews(0, (), False)
+        load, news = None, CacheNews(0, ())
         if self._engine is not None:
             load = self._engine.load()
             news = self._engine.cache.after(message.cache_cursor)
@@ -92,7 +92,6 @@
                 load=load,
                 cache_cursor=news.cursor,
                 cache_marks=news.marks,
-                cache_gap=news.gap,
                 update=self._configuration.update_for(
                     message.stamp.configuration_version
                 ),
--- a/gentianhoist/sidecar/_holds.py
+++ b/gentianhoist/sidecar/_holds.py
@@ -10,7 +10,7 @@
 from gentianhoist.clocks import Clock
 from gentianhoist.exceptions import ErrorKind
 from gentianhoist.store import HttpPlatform, StoreUnavailable
-from gentianhoist.wire import HoldReply, HoldRequest
+from gentianhoist.wire import HoldReply, HoldRequest, exported_object
 
 
 @dataclass
@@ -108,10 +108,10 @@
         if hold is None:
             return
         try:
-            await self._platform.put_object(object_name(name), data)
+            await self._platform.put_object(exported_object(name), data)
         except StoreUnavailable:
             return
-        hold.objects.add(object_name(name))
+        hold.objects.add(exported_object(name))
 
     async def can_import(self, name: str, exported: str) -> bool:
         """Whether exported memory can be fetched; the reservation then owns it.
@@ -138,8 +138,3 @@
             await self._platform.delete_object(name)
         except StoreUnavailable:
             return
-
-
-def object_name(hold: str) -> str:
-    """Name of the object that keeps a reservation's exported memory."""
-    return f"kv-{hold}"
--- a/gentianhoist/wire/__init__.py
+++ b/gentianhoist/wire/__init__.py
@@ -23,6 +23,7 @@
     OrderKind,
     OrderReply,
     OrderRequest,
+    exported_object,
 )
 from gentianhoist.wire._generation import (
     Ack,
@@ -85,5 +86,6 @@
     "Stamp",
     "decode",
     "encode",
+    "exported_object",
     "open_channel",
 ]
--- a/gentianhoist/wire/_control.py
+++ b/gentianhoist/wire/_control.py
@@ -59,7 +59,6 @@
         load: What a sidecar says of its backend server.
         cache_cursor: Where `cache_marks` end.
         cache_marks: Prefixes newly cached; empty after a gap.
-        cache_gap: Whether marks before these are lost.
         update: What the sender of the heartbeat lacks.
         spending: What an entry says of its part of the allowance.
     """
@@ -70,7 +69,6 @@
     load: EngineLoad | None = None
     cache_cursor: int = 0
     cache_marks: tuple[int, ...] = ()
-    cache_gap: bool = False
     update: ConfigurationUpdate | None = None
     spending: Spending | None = None
 
--- a/gentianhoist/wire/_engine.py
+++ b/gentianhoist/wire/_engine.py
@@ -89,3 +89,8 @@
     kind: ErrorKind | None = None
     message: str = ""
     not_run: NotRun = NotRun.TRUE
+
+
+def exported_object(hold: str) -> str:
+    """Name of the object that keeps a reservation's exported memory."""
+    return f"kv-{hold}"
