Serve the users' platform: callers, engines, store, through one adapter

Cause: the product had one boundary, its own HTTP interface and sidecars; the users' platform fixes another. New in the product: http1 (parser from httptools), fleet (routes, directory, followers of the store), placement (costs of a pass, commitments, choice by expected value), dispatch (one request, one answer), peers, gateway. platform/ translates.

--- /dev/null
+++ b/gentianhoist/dispatch/_events.py
@@ -0,0 +1,79 @@
+"""Whole events of a stream, cut out of the bytes of a body."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+__all__ = ["EventReader", "StreamEvent"]
+
+_MAX_EVENT_BYTES = 1024 * 1024
+
+
+class StreamEvent(NamedTuple):
+    """One event.
+
+    Attributes:
+        data: Its bytes with the blank line that ends it.
+        id: Its id, if it has one.
+    """
+
+    data: bytes
+    id: bytes | None
+
+
+class EventReader:
+    """Collects bytes until an event is whole.
+
+    Example:
+        >>> reader = EventReader()
+        >>> reader.feed(b"id: 1\\ndata: a\\n")
+        []
+        >>> reader.feed(b"\\nid: 2")
+        [StreamEvent(data=b'id: 1\\ndata: a\\n\\n', id=b'1')]
+        >>> reader.rest
+        b'id: 2'
+    """
+
+    def __init__(self) -> None:
+        self._buffer = b""
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes of an event that isn't whole."""
+        return self._buffer
+
+    def feed(self, data: bytes) -> list[StreamEvent]:
+        """Take bytes; returns the events that are whole now.
+
+        Raises:
+            ValueError: If an event grows beyond any that a server sends.
+        """
+        buffer = self._buffer + data
+        events = []
+        while True:
+            end = _event_end(buffer)
+            if end < 0:
+                break
+            events.append(StreamEvent(buffer[:end], _event_id(buffer[:end])))
+            buffer = buffer[end:]
+        if len(buffer) > _MAX_EVENT_BYTES:
+            raise ValueError("an event without an end")
+        self._buffer = buffer
+        return events
+
+
+def _event_end(buffer: bytes) -> int:
+    ends = [
+        position + len(mark)
+        for mark in (b"\n\n", b"\r\n\r\n")
+        if (position := buffer.find(mark)) >= 0
+    ]
+    return min(ends, default=-1)
+
+
+def _event_id(event: bytes) -> bytes | None:
+    for line in event.splitlines():
+        name, _, value = line.partition(b":")
+        if name == b"id":
+            return value.strip()
+    return None
--- /dev/null
+++ b/gentianhoist/dispatch/_request.py
@@ -0,0 +1,84 @@
+"""A request that was admitted, and what became of its sends."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import dataclass, field
+
+from gentianhoist.dispatch._ports import Call
+from gentianhoist.fleet import Organisation, Repeatable, Route
+
+__all__ = ["Request"]
+
+
+@dataclass
+class Request:
+    """A request with the route that it matched.
+
+    Attributes:
+        call: What the caller sent.
+        route: Its route.
+        organisation: Whose it is.
+        version: Version of the configuration that it was checked against.
+        margin_s: How long before its end the last answer is given.
+        chosen_group: Group that it goes to.
+        sends: Sends that reached or may have reached a server.
+        runs: Sends to each server that may have run.
+        avoid: Servers not to be asked again.
+    """
+
+    call: Call
+    route: Route
+    organisation: Organisation | None
+    version: int
+    margin_s: float
+    chosen_group: str = ""
+    sends: int = 0
+    runs: Counter[str] = field(default_factory=Counter)
+    avoid: set[str] = field(default_factory=set)
+
+    @property
+    def end_s(self) -> float:
+        """When its last answer is due, on the loop's clock."""
+        patience_s = self.route.timeout_s
+        if self.call.patience_s is not None:
+            patience_s = min(patience_s, self.call.patience_s)
+        return self.call.received_s + max(0.0, patience_s - self.margin_s)
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether it may run more than once."""
+        return self.route.repeatable is Repeatable.IDEMPOTENT
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have begun with it."""
+        return self.runs.total() > 0
+
+    @property
+    def may_run_again(self) -> bool:
+        """Whether a server may still run it."""
+        if not self.may_have_run:
+            return True
+        ran_on = sum(count > 0 for count in self.runs.values())
+        return self.idempotent and ran_on < self.route.max_servers
+
+    @property
+    def priority(self) -> int:
+        """Its rank: the organisation's if it has one, else the route's."""
+        if self.organisation is not None and self.organisation.priority is not None:
+            return self.organisation.priority
+        return self.route.priority
+
+    def left_s(self, now_s: float) -> float:
+        """Seconds until it ends."""
+        return self.end_s - now_s
+
+    def sent(self, server_id: str) -> None:
+        """Its bytes are on their way to a server: it may run there from now on."""
+        self.sends += 1
+        self.runs[server_id] += 1
+
+    def not_executed(self, server_id: str) -> None:
+        """The server says that it did not run this send."""
+        self.runs[server_id] -= 1
--- /dev/null
+++ b/gentianhoist/dispatch/_state.py
@@ -0,0 +1,141 @@
+"""What all requests of an entry share."""
+
+from __future__ import annotations
+
+import random
+from typing import NamedTuple
+
+from gentianhoist.fleet import (
+    BackendServer,
+    Directory,
+    RoutingReplica,
+    ServerGroup,
+)
+from gentianhoist.http1 import ConnectionPool, PoolLimits
+from gentianhoist.placement import (
+    ColdStartBudget,
+    CommitmentLedger,
+    EvidenceBook,
+    PlacementQueue,
+)
+from gentianhoist.routing import RetryBudget
+
+__all__ = ["DispatchPolicy", "DispatchState"]
+
+
+class DispatchPolicy(NamedTuple):
+    """Bounds of an entry's requests.
+
+    Attributes:
+        entries: The largest number of entries that may be there; each keeps to its part
+            of what all may do together.
+        retry_ratio: Repeats allowed for each request.
+        retry_reserve: Repeats that all entries together may save up.
+        cold_reserve_ratio: Part of what a cold server bears that is used.
+        max_sends: Sends of one request, those that did not run included.
+        answer_margin_s: How long before a request's end its last answer is given.
+        proven_idle_s: Longest idle time of a connection that is good enough for a
+            request that must not run twice.
+        hold_s: Lease of a reservation of KV memory.
+        silent_ratio: Goals after which a silent server is given up, where the request
+            may run elsewhere.
+        min_patience_s: Seconds that every server is given before that.
+        first_event_ratio: Expected times after which a stream's first event is overdue.
+        pause_ratio: Pause goals after which a stream has stopped.
+        connect_timeout_s: Seconds until an attempt to connect is given up.
+        silence_s: Seconds that sent bytes may go unacknowledged.
+    """
+
+    entries: int = 8
+    retry_ratio: float = 0.18
+    retry_reserve: float = 80.0
+    cold_reserve_ratio: float = 0.9
+    max_sends: int = 4
+    answer_margin_s: float = 0.03
+    proven_idle_s: float = 0.25
+    hold_s: float = 3.0
+    silent_ratio: float = 2.0
+    min_patience_s: float = 0.2
+    first_event_ratio: float = 3.0
+    pause_ratio: float = 3.0
+    connect_timeout_s: float = 0.4
+    silence_s: float = 2.0
+
+
+class DispatchState:
+    """Views and budgets that an entry's requests share.
+
+    Args:
+        policy: Bounds.
+        seed: Seeds the random choices.
+    """
+
+    def __init__(self, policy: DispatchPolicy, seed: int | None = None) -> None:
+        self.policy = policy
+        self.replica = RoutingReplica()
+        self.directory = Directory()
+        self.ledger = CommitmentLedger()
+        self.evidence = EvidenceBook()
+        self.cold = ColdStartBudget()
+        self.queue = PlacementQueue()
+        self.rng = random.Random(seed)
+        self.outstanding: dict[str, int] = {}
+        self._pools: dict[tuple[str, str, int], ConnectionPool] = {}
+        self._budgets: dict[str, RetryBudget] = {}
+
+    def pool(self, server: BackendServer, group: ServerGroup) -> ConnectionPool:
+        """Connections to one incarnation of a server."""
+        pool = self._pools.get(server.incarnation)
+        if pool is None:
+            limit = max(2, group.max_connections // self.policy.entries)
+            limits = PoolLimits(
+                open_connections=limit,
+                connect_timeout_s=self.policy.connect_timeout_s,
+                silence_s=self.policy.silence_s,
+            )
+            pool = ConnectionPool(server.host, server.port, limits)
+            self._pools[server.incarnation] = pool
+        return pool
+
+    def budget(self, group: str) -> RetryBudget:
+        """The entry's part of the repeats to a group."""
+        budget = self._budgets.get(group)
+        if budget is None:
+            reserve = self.policy.retry_reserve / self.policy.entries
+            budget = RetryBudget(self.policy.retry_ratio, reserve)
+            self._budgets[group] = budget
+        return budget
+
+    def may_start_cold(
+        self, server: BackendServer, group: ServerGroup, now_s: float
+    ) -> bool:
+        """Whether a server's cold start, if it is in one, bears another request."""
+        if not group.cold_requests_per_s or now_s >= server.cold_until_s:
+            return True
+        rate = group.cold_requests_per_s * self.policy.cold_reserve_ratio
+        return self.cold.allows(server.id, rate, self.policy.entries, now_s)
+
+    def note_sent(self, server: BackendServer, now_s: float) -> None:
+        """Take note of a request that is being sent."""
+        self.outstanding[server.id] = self.outstanding.get(server.id, 0) + 1
+        if now_s < server.cold_until_s:
+            self.cold.sent(server.id, now_s)
+
+    def note_done(self, server: BackendServer) -> None:
+        """Take note that a request sent has ended."""
+        self.outstanding[server.id] -= 1
+
+    def servers_changed(self) -> list[BackendServer]:
+        """Drop what belongs to incarnations that are gone; returns the present ones."""
+        present = list(self.directory.servers.values())
+        incarnations = {server.incarnation for server in present}
+        for gone in self._pools.keys() - incarnations:
+            self._pools.pop(gone).close()
+        self.evidence.keep_only(incarnations)
+        self.cold.keep_only({server.id for server in present})
+        return present
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for pool in self._pools.values():
+            pool.close()
--- /dev/null
+++ b/gentianhoist/fleet/__init__.py
@@ -0,0 +1,49 @@
+"""What an entry believes of the fleet: backend servers, routes, organisations."""
+
+from gentianhoist.fleet._directory import Directory, ServerListing
+from gentianhoist.fleet._follower import (
+    ChangeFeed,
+    FeedPage,
+    FeedRow,
+    FollowPolicy,
+    HistoryLost,
+    TableFollower,
+)
+from gentianhoist.fleet._registry import EntryRegistry, EntryRows
+from gentianhoist.fleet._routes import (
+    Organisation,
+    Repeatable,
+    Route,
+    RoutingConfiguration,
+    RoutingReplica,
+    WeightedGroup,
+)
+from gentianhoist.fleet.core import (
+    BackendServer,
+    EngineProfile,
+    ServerGroup,
+    ServerState,
+)
+
+__all__ = [
+    "BackendServer",
+    "ChangeFeed",
+    "Directory",
+    "EngineProfile",
+    "EntryRegistry",
+    "EntryRows",
+    "FeedPage",
+    "FeedRow",
+    "FollowPolicy",
+    "HistoryLost",
+    "Organisation",
+    "Repeatable",
+    "Route",
+    "RoutingConfiguration",
+    "RoutingReplica",
+    "ServerGroup",
+    "ServerListing",
+    "ServerState",
+    "TableFollower",
+    "WeightedGroup",
+]
--- /dev/null
+++ b/gentianhoist/fleet/_follower.py
@@ -0,0 +1,181 @@
+"""Follows one table of the platform's store: a feed of changes, and a plain read."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import NamedTuple, Protocol
+
+from gentianhoist.clocks import Clock
+from gentianhoist.store import StoreUnavailable
+from gentianhoist.telemetry import DecisionLog
+
+__all__ = [
+    "ChangeFeed",
+    "FeedPage",
+    "FeedRow",
+    "FollowPolicy",
+    "HistoryLost",
+    "TableFollower",
+]
+
+
+class FeedRow(NamedTuple):
+    """A row, or the news that it is gone.
+
+    Attributes:
+        key: Its key.
+        value: Its bytes, or nothing if it is gone.
+        version: The version at which it was written.
+    """
+
+    key: str
+    value: bytes | None
+    version: int
+
+
+class FeedPage(NamedTuple):
+    """Rows as of a version.
+
+    Attributes:
+        rows: The rows.
+        version: The version from which changes follow.
+    """
+
+    rows: list[FeedRow]
+    version: int
+
+
+class HistoryLost(Exception):
+    """The store no longer has the changes asked for."""
+
+
+class ChangeFeed(Protocol):
+    """One table of the store."""
+
+    async def read(self, timeout_s: float) -> FeedPage:
+        """Read the whole table.
+
+        Raises:
+            StoreUnavailable: If it doesn't answer in time.
+        """
+        ...
+
+    async def changes(self, since: int, wait_s: float, timeout_s: float) -> FeedPage:
+        """Wait for changes after a version.
+
+        Raises:
+            StoreUnavailable: If it doesn't answer in time.
+            HistoryLost: If it no longer has them.
+        """
+        ...
+
+
+class FollowPolicy(NamedTuple):
+    """How closely a table is followed.
+
+    Attributes:
+        wait_s: How long the store may hold a question until something changes.
+        pause_s: Time between two questions.
+        answer_s: Time that an answer may take beyond the wait.
+        reread_s: Time between two plain reads, as the second way.
+        backoff_s: Time after a failure, spread by half.
+    """
+
+    wait_s: float = 1.5
+    pause_s: float = 0.0
+    answer_s: float = 0.5
+    reread_s: float = 12.0
+    backoff_s: float = 0.3
+
+
+class TableFollower:
+    """A task that keeps a view of one table.
+
+    Args:
+        name: The table's name, for the log.
+        feed: The table.
+        policy: How closely it is followed.
+        replace: Takes a whole table.
+        change: Takes changes.
+        clock: The entry's clock.
+        log: Told of the store's loss and return.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        feed: ChangeFeed,
+        policy: FollowPolicy,
+        replace: Callable[[list[FeedRow]], None],
+        change: Callable[[list[FeedRow]], None],
+        clock: Clock,
+        log: DecisionLog,
+    ) -> None:
+        self._name = name
+        self._feed = feed
+        self._policy = policy
+        self._replace = replace
+        self._change = change
+        self._clock = clock
+        self._log = log
+        self._version: int | None = None
+        self._read_s = float("-inf")
+        self._lost_s: float | None = None
+        self._rng = random.Random()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Start to follow."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop following."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._step()
+                self._regained()
+                pause_s = self._policy.pause_s
+            except HistoryLost:
+                self._version = None
+                self._log.record("history_lost", table=self._name)
+                pause_s = 0.0
+            except StoreUnavailable as error:
+                self._lost(error)
+                self._version = None
+                pause_s = self._policy.backoff_s * (0.5 + self._rng.random())
+            if pause_s:
+                await asyncio.sleep(pause_s)
+
+    async def _step(self) -> None:
+        policy = self._policy
+        now_s = self._clock.elapsed_s()
+        if self._version is None or now_s - self._read_s > policy.reread_s:
+            page = await self._feed.read(policy.answer_s)
+            self._replace(page.rows)
+            self._read_s = now_s
+        else:
+            page = await self._feed.changes(
+                self._version, policy.wait_s, policy.wait_s + policy.answer_s
+            )
+            self._change(page.rows)
+        self._version = page.version
+
+    def _lost(self, error: StoreUnavailable) -> None:
+        if self._lost_s is None:
+            self._lost_s = self._clock.elapsed_s()
+            self._log.record("store_lost", table=self._name, reason=str(error))
+
+    def _regained(self) -> None:
+        if self._lost_s is not None:
+            after_s = self._clock.elapsed_s() - self._lost_s
+            self._lost_s = None
+            self._log.record(
+                "store_regained", table=self._name, after_s=round(after_s, 3)
+            )
--- /dev/null
+++ b/gentianhoist/http1/__init__.py
@@ -0,0 +1,22 @@
+"""HTTP/1.1 on both sides of an entry, with every byte accounted for."""
+
+from gentianhoist.http1._client import ClientConnection, ConnectionFailed, ResponseHead
+from gentianhoist.http1._pool import ConnectionPool, Lease, PoolLimits
+from gentianhoist.http1._server import CallerRequest, HttpServer, Responder
+from gentianhoist.http1.core import Headers, RequestLimits, encode_request, header
+
+__all__ = [
+    "CallerRequest",
+    "ClientConnection",
+    "ConnectionFailed",
+    "ConnectionPool",
+    "Headers",
+    "HttpServer",
+    "Lease",
+    "PoolLimits",
+    "RequestLimits",
+    "Responder",
+    "ResponseHead",
+    "encode_request",
+    "header",
+]
--- /dev/null
+++ b/gentianhoist/peers/core.py
@@ -0,0 +1,229 @@
+"""The link to the other entries: one datagram socket."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import msgspec
+
+from gentianhoist.clocks import Clock
+from gentianhoist.peers._messages import Added, Batch, Ended, FirstEvent, Hello
+from gentianhoist.placement import Commitment, CommitmentLedger
+
+__all__ = ["CommitmentSink", "NoPeers", "PeerLink"]
+
+_log = logging.getLogger(__name__)
+
+_GATHER_S = 0.002
+_MAX_ITEMS = 12
+_PEER_SILENT_S = 30.0
+
+
+class CommitmentSink(Protocol):
+    """Who is told of an entry's commitments."""
+
+    @property
+    def entry(self) -> str:
+        """The entry's name, unique among all starts of all entries."""
+        ...
+
+    def added(self, commitment: Commitment, now_s: float) -> None:
+        """Work is being sent."""
+        ...
+
+    def first_event(self, id_: str) -> None:
+        """A stream has begun."""
+        ...
+
+    def ended(self, id_: str) -> None:
+        """Work has ended."""
+        ...
+
+
+class NoPeers:
+    """For an entry without others.
+
+    Args:
+        entry: The entry's name.
+    """
+
+    def __init__(self, entry: str) -> None:
+        self.entry = entry
+
+    def added(self, commitment: Commitment, now_s: float) -> None:
+        """Tell nobody."""
+
+    def first_event(self, id_: str) -> None:
+        """Tell nobody."""
+
+    def ended(self, id_: str) -> None:
+        """Tell nobody."""
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """Tells the other entries what this one commits, and takes in what they tell.
+
+    A lost datagram costs accuracy for as long as its commitment would last, nothing
+    more: commitments expire by themselves.
+
+    Args:
+        entry: This entry's name.
+        host: Its IP number.
+        port: The port that all entries use.
+        ledger: Takes the others' commitments.
+        clock: The entry's clock.
+        changed: Called when the others' commitments have changed.
+    """
+
+    def __init__(
+        self,
+        entry: str,
+        host: str,
+        port: int,
+        ledger: CommitmentLedger,
+        clock: Clock,
+        changed: Callable[[], None],
+    ) -> None:
+        self._entry = entry
+        self._host = host
+        self._port = port
+        self._ledger = ledger
+        self._clock = clock
+        self._changed = changed
+        self._own: dict[str, list[Commitment]] = {}
+        self._writing: set[str] = set()
+        self._peers: set[str] = set()
+        self._heard_s: dict[str, float] = {}
+        self._outbox: list[Added | FirstEvent | Ended | Hello] = []
+        self._flush: asyncio.TimerHandle | None = None
+        self._transport: asyncio.DatagramTransport | None = None
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Batch)
+
+    @property
+    def entry(self) -> str:
+        """This entry's name."""
+        return self._entry
+
+    @property
+    def peers(self) -> frozenset[str]:
+        """IP numbers of the other entries."""
+        return frozenset(self._peers)
+
+    def live_peers(self, now_s: float) -> int:
+        """Entries heard of lately."""
+        return sum(now_s - heard < _PEER_SILENT_S for heard in self._heard_s.values())
+
+    async def start(self) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(self._host, self._port)
+        )
+
+    async def close(self) -> None:
+        """Close the socket."""
+        if self._flush is not None:
+            self._flush.cancel()
+        if self._transport is not None:
+            self._transport.close()
+
+    def set_peers(self, hosts: Iterable[str]) -> None:
+        """Set the other entries; says hello to new ones."""
+        hosts = set(hosts) - {self._host}
+        new = hosts - self._peers
+        self._peers = hosts
+        if new and self._transport is not None:
+            hello = self._encode([Hello(self._host)])
+            for host in new:
+                self._transport.sendto(hello, (host, self._port))
+
+    def added(self, commitment: Commitment, now_s: float) -> None:
+        """Tell of work that is being sent."""
+        self._own.setdefault(commitment.id, []).append(commitment)
+        self._tell(Added.of(commitment, now_s))
+
+    def first_event(self, id_: str) -> None:
+        """Tell that a stream has begun."""
+        if id_ in self._own:
+            self._writing.add(id_)
+            self._tell(FirstEvent(id_))
+
+    def ended(self, id_: str) -> None:
+        """Tell that work has ended."""
+        if self._own.pop(id_, None) is not None:
+            self._writing.discard(id_)
+            self._tell(Ended(id_))
+
+    # Callbacks of the transport.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self._transport = transport  # type: ignore[assignment]
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        try:
+            batch = self._decoder.decode(data)
+        except msgspec.MsgspecError as error:
+            _log.warning("unreadable datagram", extra={"cause": str(error)})
+            return
+        now_s = self._clock.elapsed_s()
+        host = addr[0]
+        self._heard_s[host] = now_s
+        self._peers.add(host)
+        for item in batch.items:
+            self._take(item, host, now_s)
+        self._changed()
+
+    def error_received(self, exc: Exception) -> None:
+        _log.debug("datagram not delivered", extra={"cause": repr(exc)})
+
+    def _take(
+        self, item: Added | FirstEvent | Ended | Hello, host: str, now_s: float
+    ) -> None:
+        match item:
+            case Added():
+                self._ledger.add(item.commitment(now_s), now_s)
+            case FirstEvent(id=id_):
+                self._ledger.first_event(id_, now_s)
+            case Ended(id=id_):
+                self._ledger.end(id_)
+            case Hello():
+                self._tell_all(host, now_s)
+
+    def _tell(self, item: Added | FirstEvent | Ended | Hello) -> None:
+        if not self._peers:
+            return
+        self._outbox.append(item)
+        if len(self._outbox) >= _MAX_ITEMS:
+            self._send()
+        elif self._flush is None:
+            loop = asyncio.get_running_loop()
+            self._flush = loop.call_later(_GATHER_S, self._send)
+
+    def _send(self) -> None:
+        if self._flush is not None:
+            self._flush.cancel()
+            self._flush = None
+        items, self._outbox = self._outbox, []
+        if not items or self._transport is None:
+            return
+        data = self._encode(items)
+        for host in self._peers:
+            self._transport.sendto(data, (host, self._port))
+
+    def _tell_all(self, host: str, now_s: float) -> None:
+        """Answer an entry that has just started with all that this one holds."""
+        items: list[Added | FirstEvent | Ended | Hello] = []
+        for commitments in self._own.values():
+            items += [Added.of(item, now_s) for item in commitments]
+        items += [FirstEvent(id_) for id_ in sorted(self._writing)]
+        for start in range(0, len(items), _MAX_ITEMS):
+            data = self._encode(items[start : start + _MAX_ITEMS])
+            if self._transport is not None:
+                self._transport.sendto(data, (host, self._port))
+
+    def _encode(self, items: list[Added | FirstEvent | Ended | Hello]) -> bytes:
+        return self._encoder.encode(Batch(self._entry, items))
--- /dev/null
+++ b/gentianhoist/placement/_queue.py
@@ -0,0 +1,95 @@
+"""Requests that wait for an engine, in one order by slack and worth."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from gentianhoist.placement._choice import Demand, Placement
+
+__all__ = ["PlacementQueue", "Refused", "Waiting"]
+
+_MAX_WAITING = 512
+# Requests whose placement is tried at one change, so that a long queue stays cheap.
+_TRIES_PER_CHANGE = 24
+
+
+@dataclass(frozen=True)
+class Refused:
+    """There is no room in time; the request did not run.
+
+    Attributes:
+        reason: Why, for the log.
+        retry_after_s: Seconds after which there is room again, as expected.
+    """
+
+    reason: str
+    retry_after_s: float
+
+
+@dataclass
+class Waiting:
+    """A request that waits.
+
+    Attributes:
+        demand: What it asks for.
+        give_up_s: When it can't be served in time any more, on the entry's clock.
+        priority: Rank, 0 is the highest.
+        place: Tries to place it, on the loads of this moment.
+        result: Set to the placement or to the refusal.
+    """
+
+    demand: Demand
+    give_up_s: float
+    priority: int
+    place: Callable[[], Placement | None]
+    result: asyncio.Future[Placement | Refused]
+
+    def order(self, now_s: float) -> tuple[int, float]:
+        """Lower goes first: rank, then value for the slack that is left."""
+        slack_s = max(0.05, self.give_up_s - now_s)
+        size = 1.0 + self.demand.kv_tokens / 20_000
+        return (self.priority, slack_s * size / self.demand.value)
+
+
+class PlacementQueue:
+    """Waiting requests, woken when an engine's commitments change."""
+
+    def __init__(self) -> None:
+        self._waiting: list[Waiting] = []
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    @property
+    def full(self) -> bool:
+        """Whether nothing more may wait."""
+        return len(self._waiting) >= _MAX_WAITING
+
+    def join(self, item: Waiting) -> None:
+        """Add a request."""
+        self._waiting.append(item)
+
+    def leave(self, item: Waiting) -> None:
+        """Take a request out that was placed, refused or cancelled."""
+        if item in self._waiting:
+            self._waiting.remove(item)
+
+    def changed(self, now_s: float) -> None:
+        """Place what can be placed now, and refuse what is too late."""
+        if not self._waiting:
+            return
+        for item in list(self._waiting):
+            if now_s >= item.give_up_s:
+                self._settle(item, Refused("no engine became free in time", 0.5))
+        ordered = sorted(self._waiting, key=lambda item: item.order(now_s))
+        for item in ordered[:_TRIES_PER_CHANGE]:
+            placement = item.place()
+            if placement is not None:
+                self._settle(item, placement)
+
+    def _settle(self, item: Waiting, result: Placement | Refused) -> None:
+        self.leave(item)
+        if not item.result.done():
+            item.result.set_result(result)
--- a/gentianhoist/routing/_retry_budget.py
+++ b/gentianhoist/routing/_retry_budget.py
@@ -10,6 +10,7 @@
 
     Args:
         ratio: Retries for each request.
+        reserve: Retries that may be saved up.
 
     Example:
         >>> budget = RetryBudget(0.1)
@@ -17,13 +18,14 @@
         10
     """
 
-    def __init__(self, ratio: float) -> None:
+    def __init__(self, ratio: float, reserve: float = _RESERVE) -> None:
         self._ratio = ratio
-        self._balance = _RESERVE
+        self._reserve = reserve
+        self._balance = reserve
 
     def earn(self) -> None:
         """Take note of a request."""
-        self._balance = min(_RESERVE, self._balance + self._ratio)
+        self._balance = min(self._reserve, self._balance + self._ratio)
 
     def spend(self) -> bool:
         """Spend one retry; False if the budget is empty."""
--- a/gentianhoist/settings/__init__.py
+++ b/gentianhoist/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from gentianhoist.settings._describe import describe_settings
 from gentianhoist.settings._loading import (
+    check,
     load_deployment,
     load_entry,
     load_sidecar,
@@ -49,6 +50,7 @@
     "RoutingSettings",
     "SidecarSettings",
     "TimingSettings",
+    "check",
     "describe_settings",
     "load_deployment",
     "load_entry",
