Count what waits: scarce engines, delayed readers, silent entries

(2) Long prompts were placed at any price in a burst of short ones. (3) The delay of prompts being read, whole or as a part of a gang, counted nothing, so gangs crossed.

Change: commitments of an entry silent for 2 s, or of its earlier start, are dropped; one refused try a change; reading has a price that grows as engines get scarce; waiting is a choice; delayed readers are damage. Lost questions to the store are asked again at once.

--- a/gentianhoist/dispatch/_placing.py
+++ b/gentianhoist/dispatch/_placing.py
@@ -18,6 +18,7 @@
     Refused,
     Waiting,
     choose_engines,
+    worth_waiting,
 )
 from gentianhoist.routing import rendezvous_weight
 
@@ -35,6 +36,11 @@
 _LONG_TOKENS = 30_000
 _MIN_STEP_S = 0.001
 _RENEW_RATIO = 0.4
+# Engines that read a long prompt together, for the time that it takes at the least.
+_USUAL_ENGINES = 4
+_LONG_READ_S = 0.15
+_SHORT_RETRY_S = 0.01
+_LONG_RETRY_S = 0.1
 _plain_ids = itertools.count()
 
 
@@ -148,17 +154,23 @@
     def _waiting(self, id_: str) -> Waiting:
         demand = self._demand()
         profile = self._profile()
-        left_s = self._request.left_s(self._loop.time())
-        alone_s = profile.read_s(demand.prompt_tokens) / 4 + self._write_s(demand)
         now_s = self._dispatcher.clock.elapsed_s()
+        long = profile.read_s(demand.prompt_tokens) > _LONG_READ_S
         return Waiting(
             demand,
-            now_s + max(0.0, left_s - alone_s),
+            now_s + max(0.0, self._slack_s(demand)),
             self._request.priority,
             lambda: self._try(id_),
             self._loop.create_future(),
+            _LONG_RETRY_S if long else _SHORT_RETRY_S,
         )
 
+    def _slack_s(self, demand: Demand) -> float:
+        """Seconds that the request can wait and still end in its time."""
+        read_s = self._profile().read_s(demand.prompt_tokens)
+        alone_s = read_s / _USUAL_ENGINES + self._write_s(demand)
+        return self._request.left_s(self._loop.time()) - alone_s
+
     def _try(self, id_: str) -> Placement | None:
         """Choose engines on the loads of this moment, and commit them."""
         now_s = self._dispatcher.clock.elapsed_s()
@@ -166,6 +178,8 @@
         placement = choose_engines(demand, self._candidates(), self._profile(), now_s)
         if placement is None:
             return None
+        if worth_waiting(demand, placement, self._slack_s(demand)):
+            return None
         for commitment in self._commitments(id_, demand, placement, now_s):
             self._state.ledger.add(commitment, now_s)
             self._dispatcher.peers.added(commitment, now_s)
@@ -205,6 +219,7 @@
             first_kv,
             demand.pause_goal_s,
             demand.value,
+            now_s + demand.goal_left_s,
             expires_s,
         )
         parts = [
@@ -313,7 +328,8 @@
             helpers=len(placement.helpers),
             part_read_s=round(placement.part_read_s, 4),
             expected_first_event_s=round(placement.first_event_s, 4),
-            loss=round(placement.loss, 3),
+            own_loss=round(placement.own_loss, 3),
+            damage=round(placement.damage, 3),
             tickets_tokens=placement.helper_kv_tokens,
             streams=len(load.writers),
             backlog_s=round(load.backlog_s(now_s), 4),
--- a/gentianhoist/fleet/_follower.py
+++ b/gentianhoist/fleet/_follower.py
@@ -123,6 +123,7 @@
         self._version: int | None = None
         self._read_s = float("-inf")
         self._lost_s: float | None = None
+        self._failures = 0
         self._rng = random.Random()
         self._task: asyncio.Task[None] | None = None
 
@@ -149,7 +150,7 @@
             except StoreUnavailable as error:
                 self._lost(error)
                 self._version = None
-                pause_s = self._policy.backoff_s * (0.5 + self._rng.random())
+                pause_s = self._pause_after_failure_s()
             if pause_s:
                 await asyncio.sleep(pause_s)
 
@@ -167,12 +168,20 @@
             self._change(page.rows)
         self._version = page.version
 
+    def _pause_after_failure_s(self) -> float:
+        """Nothing after the first: the answer may be all that was lost."""
+        self._failures += 1
+        if self._failures == 1:
+            return 0.0
+        return self._policy.backoff_s * (0.5 + self._rng.random())
+
     def _lost(self, error: StoreUnavailable) -> None:
         if self._lost_s is None:
             self._lost_s = self._clock.elapsed_s()
             self._log.record("store_lost", table=self._name, reason=str(error))
 
     def _regained(self) -> None:
+        self._failures = 0
         if self._lost_s is not None:
             after_s = self._clock.elapsed_s() - self._lost_s
             self._lost_s = None
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -40,6 +40,8 @@
 __all__ = ["Boundary", "Gateway", "GatewaySettings", "OperatorView"]
 
 _TICK_S = 0.25
+# Time between two looks at the queue while something waits in it.
+_BUSY_TICK_S = 0.02
 _MIN_LISTEN_S = 3.2
 _END_MARGIN_S = 0.6
 _POLL_S = 0.05
@@ -326,9 +328,10 @@
     async def _tick(self) -> None:
         """Age what nobody tells the end of."""
         while True:
-            await asyncio.sleep(_TICK_S)
+            await asyncio.sleep(_BUSY_TICK_S if len(self._state.queue) else _TICK_S)
             now_s = self._clock.elapsed_s()
             self._state.ledger.expire(now_s)
+            self._peers.tick(now_s)
             self._state.queue.changed(now_s)
             self._metrics.beliefs(
                 self._state.replica.version,
--- a/gentianhoist/peers/_messages.py
+++ b/gentianhoist/peers/_messages.py
@@ -21,6 +21,7 @@
         kv_tokens: KV memory.
         pause_goal_ms: Longest pause that is prompt.
         value: What the answer is worth.
+        prompt_in_ms: Time in which the first event is prompt.
         expires_in_ms: Time after which it is forgotten.
     """
 
@@ -32,6 +33,7 @@
     kv_tokens: int
     pause_goal_ms: int
     value: float
+    prompt_in_ms: int
     expires_in_ms: int
 
     @classmethod
@@ -46,6 +48,7 @@
             commitment.kv_tokens,
             round(commitment.pause_goal_s * 1000),
             round(commitment.value, 2),
+            round((commitment.prompt_until_s - now_s) * 1000),
             round((commitment.expires_s - now_s) * 1000),
         )
 
@@ -60,6 +63,7 @@
             self.kv_tokens,
             self.pause_goal_ms / 1000,
             self.value,
+            now_s + self.prompt_in_ms / 1000,
             now_s + self.expires_in_ms / 1000,
         )
 
--- a/gentianhoist/peers/core.py
+++ b/gentianhoist/peers/core.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 from typing import Protocol
 
 import msgspec
@@ -19,7 +20,10 @@
 
 _GATHER_S = 0.002
 _MAX_ITEMS = 12
-_PEER_SILENT_S = 30.0
+# An entry that has nothing to tell says so this often.
+_KEEP_ALIVE_S = 0.6
+# After this silence an entry has ended or is cut off, and its connections with it.
+_SILENT_S = 2.0
 
 
 class CommitmentSink(Protocol):
@@ -63,6 +67,15 @@
         """Tell nobody."""
 
 
+@dataclass
+class _Peer:
+    """One start of another entry, and the ids of its commitments."""
+
+    entry: str
+    heard_s: float = 0.0
+    commitments: set[str] = field(default_factory=set)
+
+
 class PeerLink(asyncio.DatagramProtocol):
     """Tells the other entries what this one commits, and takes in what they tell.
 
@@ -96,7 +109,8 @@
         self._own: dict[str, list[Commitment]] = {}
         self._writing: set[str] = set()
         self._peers: set[str] = set()
-        self._heard_s: dict[str, float] = {}
+        self._heard: dict[str, _Peer] = {}
+        self._said_s = float("-inf")
         self._outbox: list[Added | FirstEvent | Ended | Hello] = []
         self._flush: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
@@ -113,10 +127,6 @@
         """IP numbers of the other entries."""
         return frozenset(self._peers)
 
-    def live_peers(self, now_s: float) -> int:
-        """Entries heard of lately."""
-        return sum(now_s - heard < _PEER_SILENT_S for heard in self._heard_s.values())
-
     async def start(self) -> None:
         """Open the socket."""
         loop = asyncio.get_running_loop()
@@ -170,27 +180,55 @@
             _log.warning("unreadable datagram", extra={"cause": str(error)})
             return
         now_s = self._clock.elapsed_s()
-        host = addr[0]
-        self._heard_s[host] = now_s
-        self._peers.add(host)
+        peer = self._peer(addr[0], batch.entry)
+        peer.heard_s = now_s
         for item in batch.items:
-            self._take(item, host, now_s)
-        self._changed()
+            self._take(item, peer, now_s)
+        if batch.items:
+            self._changed()
 
     def error_received(self, exc: Exception) -> None:
         _log.debug("datagram not delivered", extra={"cause": repr(exc)})
 
+    def tick(self, now_s: float) -> None:
+        """Say that this entry is alive, and forget the work of those that aren't."""
+        if now_s - self._said_s >= _KEEP_ALIVE_S and self._transport is not None:
+            self._send_to_all([])
+            self._said_s = now_s
+        for host, peer in list(self._heard.items()):
+            if now_s - peer.heard_s > _SILENT_S:
+                self._forget(host)
+                _log.info("entry is silent", extra={"host": host})
+
+    def _peer(self, host: str, entry: str) -> _Peer:
+        """The entry at an address; another start there ends the work of the last."""
+        peer = self._heard.get(host)
+        if peer is not None and peer.entry != entry:
+            self._forget(host)
+            peer = None
+        if peer is None:
+            peer = self._heard[host] = _Peer(entry)
+            self._peers.add(host)
+        return peer
+
+    def _forget(self, host: str) -> None:
+        for id_ in self._heard.pop(host).commitments:
+            self._ledger.end(id_)
+        self._changed()
+
     def _take(
-        self, item: Added | FirstEvent | Ended | Hello, host: str, now_s: float
+        self, item: Added | FirstEvent | Ended | Hello, peer: _Peer, now_s: float
     ) -> None:
         match item:
             case Added():
+                peer.commitments.add(item.id)
                 self._ledger.add(item.commitment(now_s), now_s)
             case FirstEvent(id=id_):
                 self._ledger.first_event(id_, now_s)
             case Ended(id=id_):
+                peer.commitments.discard(id_)
                 self._ledger.end(id_)
-            case Hello():
+            case Hello(host=host):
                 self._tell_all(host, now_s)
 
     def _tell(self, item: Added | FirstEvent | Ended | Hello) -> None:
@@ -208,8 +246,12 @@
             self._flush.cancel()
             self._flush = None
         items, self._outbox = self._outbox, []
-        if not items or self._transport is None:
-            return
+        if items and self._transport is not None:
+            self._said_s = self._clock.elapsed_s()
+            self._send_to_all(items)
+
+    def _send_to_all(self, items: list[Added | FirstEvent | Ended | Hello]) -> None:
+        assert self._transport is not None
         data = self._encode(items)
         for host in self._peers:
             self._transport.sendto(data, (host, self._port))
--- a/gentianhoist/placement/__init__.py
+++ b/gentianhoist/placement/__init__.py
@@ -6,6 +6,7 @@
     Placement,
     PlacementPolicy,
     choose_engines,
+    worth_waiting,
 )
 from gentianhoist.placement._evidence import Evidence, EvidenceBook
 from gentianhoist.placement._ledger import Commitment, CommitmentLedger, EngineLoad
@@ -27,4 +28,5 @@
     "Refused",
     "Waiting",
     "choose_engines",
+    "worth_waiting",
 ]
--- a/gentianhoist/placement/_choice.py
+++ b/gentianhoist/placement/_choice.py
@@ -1,9 +1,10 @@
 """The choice of engines for one prompt, by expected value.
 
 A prompt costs what it takes from others: each engine that reads a part of it makes the
-streams that it writes pause for that long. Reading with more engines makes the pauses
-shorter and more numerous. The choice weighs, for each number of engines, the value lost
-by the request itself against the value that the streams there are expected to lose.
+streams that it writes pause for that long, and is lost to short prompts meanwhile.
+Reading with more engines makes the pauses shorter and more numerous. The choice weighs,
+for each number of engines, the value lost by the request itself against the value that
+others are expected to lose. Waiting is a choice too: see `worth_waiting`.
 """
 
 from __future__ import annotations
@@ -20,9 +21,10 @@
     "Placement",
     "PlacementPolicy",
     "choose_engines",
+    "worth_waiting",
 ]
 
-_MAX_HELPERS = 16
+_ENGINE_COUNTS = (1, 2, 3, 4, 5, 6, 8, 10, 12, 14, 17)
 
 
 class PlacementPolicy(NamedTuple):
@@ -34,10 +36,15 @@
         certain_ratio: Part of a limit from which on an expected time is late.
         network_s: Round trip and scheduling that every answer pays.
         spread_value: Value of leaving an engine without streams free for reading.
-        backlog_value_per_s: Value of a second of reading that the next request finds.
         stream_value: Value of the room that one more stream takes on an engine.
         kv_fill_ratio: Part of the KV memory that is planned with.
         handover_s: Time from the last part read to the first event, with helpers.
+        idle_value_per_s: Value of a second of an engine's reading while many are free.
+        scarce_value_per_s: More for it while none is free.
+        scarce_from_ratio: Part of the places on engines free of reading that is taken
+            when engines begin to be scarce.
+        free_backlog_s: Reading up to which an engine counts as free of it.
+        patience_s: Slack below which a late request doesn't wait for quiet any more.
     """
 
     late_loss_ratio: float = 0.75
@@ -45,10 +52,14 @@
     certain_ratio: float = 1.05
     network_s: float = 0.01
     spread_value: float = 0.03
-    backlog_value_per_s: float = 0.5
     stream_value: float = 0.01
     kv_fill_ratio: float = 0.97
     handover_s: float = 0.01
+    idle_value_per_s: float = 0.3
+    scarce_value_per_s: float = 5.0
+    scarce_from_ratio: float = 0.45
+    free_backlog_s: float = 0.15
+    patience_s: float = 4.0
 
 
 DEFAULT_POLICY = PlacementPolicy()
@@ -106,7 +117,8 @@
         part_read_s: Seconds of reading on each.
         first_event_s: Expected time to the first event.
         helper_kv_tokens: KV memory that each helper has to reserve, 0 for none.
-        loss: Value that is expected to be lost.
+        own_loss: Value that the request itself is expected to lose.
+        damage: Value that others are expected to lose.
     """
 
     first: BackendServer
@@ -114,12 +126,31 @@
     part_read_s: float
     first_event_s: float
     helper_kv_tokens: int
-    loss: float
+    own_loss: float
+    damage: float
 
+    @property
+    def loss(self) -> float:
+        """All value that is expected to be lost."""
+        return self.own_loss + self.damage
+
+
+class _Engine(NamedTuple):
+    """A candidate with the figures of this moment."""
 
-class _Rated(NamedTuple):
     candidate: Candidate
-    cost: float
+    backlog_s: float
+    pass_s: float
+    writers: list[tuple[float, float]]
+    readers: list[tuple[float, float]]
+    memory_left: int
+    can_answer: bool
+    can_help: bool
+
+
+class _Rated(NamedTuple):
+    engine: _Engine
+    damage: float
     ready_s: float
 
 
@@ -142,72 +173,130 @@
     Returns:
         The best placement, or nothing if no engine has a slot and memory for it.
     """
+    engines = [_figures(item, profile, now_s, policy) for item in candidates]
+    price = _reading_value_per_s(engines, profile, policy)
     read_s = profile.read_s(demand.prompt_tokens)
     best: Placement | None = None
-    for count in _engine_counts(demand, read_s, len(candidates)):
-        placement = _place_on(
-            count, read_s / count, demand, candidates, profile, now_s, policy
-        )
+    for count in _engine_counts(demand, read_s, len(engines)):
+        placement = _place_on(count, read_s / count, demand, engines, price, policy)
         if placement is not None and (best is None or placement.loss < best.loss):
             best = placement
     return best
 
 
+def worth_waiting(
+    demand: Demand,
+    placement: Placement,
+    slack_s: float,
+    policy: PlacementPolicy = DEFAULT_POLICY,
+) -> bool:
+    """Whether a request should wait for better engines than those it can have now.
+
+    Args:
+        demand: The prompt.
+        placement: The best that it can have now.
+        slack_s: Seconds that it can wait and still end in its time.
+        policy: Weights.
+
+    Returns:
+        True while waiting may make a prompt answer of a late one, or spares others more
+        than it costs the request.
+    """
+    if slack_s <= 0.0:
+        return False
+    prompt_value = demand.value * policy.late_loss_ratio
+    alone_s = policy.network_s + placement.part_read_s
+    could_be_prompt = alone_s < demand.goal_left_s
+    if could_be_prompt:
+        return (
+            placement.own_loss > 0.5 * prompt_value or placement.damage > prompt_value
+        )
+    late_value = demand.value - prompt_value
+    urgency = max(0.0, 1.0 - slack_s / policy.patience_s)
+    return placement.damage > late_value * urgency
+
+
 def _engine_counts(demand: Demand, read_s: float, available: int) -> Iterable[int]:
-    most = min(available, _MAX_HELPERS + 1)
     # A prompt that any engine reads within a stream's pause gains nothing by helpers.
-    if read_s < 0.4 * demand.pause_goal_s and read_s < 0.1 * demand.goal_left_s:
-        most = min(most, 1)
-    return range(1, most + 1)
+    if read_s < 0.4 * demand.pause_goal_s and read_s < 0.4 * demand.goal_left_s:
+        return (1,)
+    return (count for count in _ENGINE_COUNTS if count <= available)
+
+
+def _figures(
+    candidate: Candidate,
+    profile: EngineProfile,
+    now_s: float,
+    policy: PlacementPolicy,
+) -> _Engine:
+    load = candidate.load
+    capacity = int(profile.kv_capacity_tokens * policy.kv_fill_ratio)
+    writers = [(item.pause_goal_s, item.value) for item in load.writers]
+    readers = [(item.prompt_until_s - now_s, item.value) for item in load.readers]
+    pass_s = load.pass_s(profile) * candidate.slowness if writers else 0.0
+    return _Engine(
+        candidate,
+        load.backlog_s(now_s) * candidate.slowness,
+        pass_s,
+        writers,
+        readers,
+        capacity - load.kv_tokens,
+        candidate.startable and load.requests < profile.slots,
+        load.helped < profile.slots,
+    )
+
+
+def _reading_value_per_s(
+    engines: Sequence[_Engine], profile: EngineProfile, policy: PlacementPolicy
+) -> float:
+    """What others are expected to lose by a second of reading on one engine."""
+    free = sum(item.backlog_s <= policy.free_backlog_s for item in engines)
+    streams = sum(item.candidate.load.requests for item in engines)
+    places = max(1, free * profile.slots)
+    scarce = (streams / places - policy.scarce_from_ratio) / (
+        1.0 - policy.scarce_from_ratio
+    )
+    scarce = min(1.0, max(0.0, scarce))
+    return policy.idle_value_per_s + policy.scarce_value_per_s * scarce
 
 
 def _place_on(
     count: int,
     part_s: float,
     demand: Demand,
-    candidates: Sequence[Candidate],
-    profile: EngineProfile,
-    now_s: float,
+    engines: Sequence[_Engine],
+    price_per_s: float,
     policy: PlacementPolicy,
 ) -> Placement | None:
-    capacity = int(profile.kv_capacity_tokens * policy.kv_fill_ratio)
-    rated = sorted(
-        (_rate(item, part_s, profile, now_s, policy) for item in candidates),
-        key=lambda item: item.cost,
-    )
+    rated = [_rate(item, part_s, price_per_s, policy) for item in engines]
     if count == 1:
-        rated = [_with_lateness(item, part_s, demand, policy) for item in rated]
-        rated.sort(key=lambda item: item.cost)
-    first = next(
-        (
-            item
-            for item in rated
-            if _can_answer(item.candidate, profile)
-            and _memory_left(item.candidate, capacity) >= demand.kv_tokens
-        ),
-        None,
-    )
-    shared = False
+        rated.sort(key=lambda item: item.damage + _own_loss(item, demand, policy))
+    else:
+        rated.sort(key=lambda item: item.damage)
+    first = _first(rated, demand.kv_tokens)
+    kv_each = 0
     if first is None and count > 1:
-        first = next(
-            (item for item in rated if _can_answer(item.candidate, profile)), None
-        )
-        shared = True
+        kv_each = -(-demand.kv_tokens // count)
+        first = _first(rated, kv_each)
     if first is None:
         return None
-    kv_each = -(-demand.kv_tokens // count) if shared else 0
     helpers = [
         item
         for item in rated
         if item is not first
-        and item.candidate.load.helped < profile.slots
-        and _memory_left(item.candidate, capacity) >= kv_each
+        and item.engine.can_help
+        and item.engine.memory_left >= kv_each
     ][: count - 1]
-    if len(helpers) < count - 1 or (
-        shared and _memory_left(first.candidate, capacity) < kv_each
-    ):
+    if len(helpers) < count - 1:
         return None
-    return _placement(first, helpers, part_s, kv_each, demand, profile, policy)
+    return _placement(first, helpers, part_s, kv_each, demand, policy)
+
+
+def _first(rated: Iterable[_Rated], kv_tokens: int) -> _Rated | None:
+    for item in rated:
+        if item.engine.can_answer and item.engine.memory_left >= kv_tokens:
+            return item
+    return None
 
 
 def _placement(
@@ -216,68 +305,52 @@
     part_s: float,
     kv_each: int,
     demand: Demand,
-    profile: EngineProfile,
     policy: PlacementPolicy,
 ) -> Placement:
     chosen = [first, *helpers]
     ready_s = max(item.ready_s for item in chosen)
     if helpers:
         ready_s += policy.handover_s
-    loss = sum(item.cost for item in chosen)
-    if helpers:
-        late = _risk(ready_s, demand.goal_left_s, policy)
-        loss += demand.value * policy.late_loss_ratio * late
+    late = _risk(ready_s, demand.goal_left_s, policy)
     return Placement(
-        first.candidate.server,
-        tuple(item.candidate.server for item in helpers),
+        first.engine.candidate.server,
+        tuple(item.engine.candidate.server for item in helpers),
         part_s,
         ready_s,
         kv_each,
-        loss,
+        demand.value * policy.late_loss_ratio * late,
+        sum(item.damage for item in chosen),
     )
 
 
-def _with_lateness(
-    item: _Rated, part_s: float, demand: Demand, policy: PlacementPolicy
-) -> _Rated:
+def _own_loss(item: _Rated, demand: Demand, policy: PlacementPolicy) -> float:
     late = _risk(item.ready_s, demand.goal_left_s, policy)
-    cost = item.cost + demand.value * policy.late_loss_ratio * late
-    return item._replace(cost=cost)
+    # Among engines that are all too late, the earliest is the best.
+    return demand.value * (policy.late_loss_ratio * late + 0.1 * item.ready_s)
 
 
 def _rate(
-    candidate: Candidate,
-    part_s: float,
-    profile: EngineProfile,
-    now_s: float,
-    policy: PlacementPolicy,
+    engine: _Engine, part_s: float, price_per_s: float, policy: PlacementPolicy
 ) -> _Rated:
     """Value that reading a part takes from others, and when the part is read."""
-    load = candidate.load
-    slow = candidate.slowness
-    backlog_s = load.backlog_s(now_s) * slow
-    read_s = part_s * slow
-    writers = load.writers
-    pass_s = load.pass_s(profile) * slow if writers else 0.0
-    cost = candidate.penalty
-    for writer in writers:
-        before = _risk(pass_s + backlog_s, writer.pause_goal_s, policy)
-        after = _risk(pass_s + backlog_s + read_s, writer.pause_goal_s, policy)
-        cost += writer.value * policy.late_loss_ratio * (after - before)
-    cost += policy.backlog_value_per_s * (backlog_s + 0.5 * read_s)
-    cost += policy.stream_value * len(writers)
-    cost += policy.spread_value * candidate.order
+    candidate = engine.candidate
+    read_s = part_s * candidate.slowness
+    before_s = engine.pass_s + engine.backlog_s
+    damage = candidate.penalty
+    for pause_goal_s, value in engine.writers:
+        before = _risk(before_s, pause_goal_s, policy)
+        after = _risk(before_s + read_s, pause_goal_s, policy)
+        damage += value * policy.late_loss_ratio * (after - before)
+    for goal_left_s, value in engine.readers:
+        before = _risk(before_s, goal_left_s, policy)
+        after = _risk(before_s + read_s, goal_left_s, policy)
+        damage += value * policy.late_loss_ratio * (after - before)
+    damage += price_per_s * (0.5 * engine.backlog_s + read_s)
+    damage += policy.stream_value * len(engine.writers)
+    damage += policy.spread_value * candidate.order
     # Work that comes during a pass waits for its end, and for its own pass.
-    ready_s = policy.network_s + backlog_s + read_s + 1.5 * pass_s
-    return _Rated(candidate, cost, ready_s)
-
-
-def _can_answer(candidate: Candidate, profile: EngineProfile) -> bool:
-    return candidate.startable and candidate.load.requests < profile.slots
-
-
-def _memory_left(candidate: Candidate, capacity: int) -> int:
-    return capacity - candidate.load.kv_tokens
+    ready_s = policy.network_s + engine.backlog_s + read_s + 1.5 * engine.pass_s
+    return _Rated(engine, damage, ready_s)
 
 
 def _risk(expected_s: float, limit_s: float, policy: PlacementPolicy) -> float:
--- a/gentianhoist/placement/_ledger.py
+++ b/gentianhoist/placement/_ledger.py
@@ -22,6 +22,7 @@
         kv_tokens: KV memory that it takes.
         pause_goal_s: Longest pause of its stream that counts as prompt.
         value: What its answer is worth, in the unit of `Demand.value`.
+        prompt_until_s: Until when its first event is prompt, on the entry's clock.
         expires_s: When it is forgotten at the latest, on the entry's clock.
     """
 
@@ -33,6 +34,7 @@
     kv_tokens: int
     pause_goal_s: float
     value: float
+    prompt_until_s: float
     expires_s: float
 
 
@@ -84,11 +86,11 @@
 
     @property
     def readers(self) -> list[Commitment]:
-        """Requests of its own that wait for their first event."""
+        """Prompts that it reads, whole or in part: each waits for all its parts."""
         return [
             item.commitment
             for item in self.held.values()
-            if item.writing_since_s is None and not item.commitment.helper
+            if item.writing_since_s is None
         ]
 
     def backlog_s(self, now_s: float) -> float:
--- a/gentianhoist/placement/_queue.py
+++ b/gentianhoist/placement/_queue.py
@@ -11,8 +11,6 @@
 __all__ = ["PlacementQueue", "Refused", "Waiting"]
 
 _MAX_WAITING = 512
-# Requests whose placement is tried at one change, so that a long queue stays cheap.
-_TRIES_PER_CHANGE = 24
 
 
 @dataclass(frozen=True)
@@ -38,6 +36,8 @@
         priority: Rank, 0 is the highest.
         place: Tries to place it, on the loads of this moment.
         result: Set to the placement or to the refusal.
+        retry_s: Time between two tries.
+        next_try_s: When it is tried again, on the entry's clock.
     """
 
     demand: Demand
@@ -45,6 +45,8 @@
     priority: int
     place: Callable[[], Placement | None]
     result: asyncio.Future[Placement | Refused]
+    retry_s: float = 0.01
+    next_try_s: float = float("-inf")
 
     def order(self, now_s: float) -> tuple[int, float]:
         """Lower goes first: rank, then value for the slack that is left."""
@@ -84,9 +86,16 @@
             if now_s >= item.give_up_s:
                 self._settle(item, Refused("no engine became free in time", 0.5))
         ordered = sorted(self._waiting, key=lambda item: item.order(now_s))
-        for item in ordered[:_TRIES_PER_CHANGE]:
+        smallest_refused: float = float("inf")
+        for item in ordered:
+            # Where a prompt found no room, none that is as large finds any.
+            if item.demand.kv_tokens >= smallest_refused or now_s < item.next_try_s:
+                continue
             placement = item.place()
-            if placement is not None:
+            if placement is None:
+                smallest_refused = item.demand.kv_tokens
+                item.next_try_s = now_s + item.retry_s
+            else:
                 self._settle(item, placement)
 
     def _settle(self, item: Waiting, result: Placement | Refused) -> None:
--- /dev/null
+++ b/tests/placement/test_choice.py
@@ -0,0 +1,192 @@
+"""Loads that the choice of engines answers; no network, one module.
+
+Each class is named after the pattern of load that it is about.
+"""
+
+from gentianhoist.fleet import BackendServer, EngineProfile
+from gentianhoist.placement import (
+    Candidate,
+    Commitment,
+    CommitmentLedger,
+    Demand,
+    choose_engines,
+    worth_waiting,
+)
+
+PROFILE = EngineProfile(
+    slots=8,
+    kv_capacity_tokens=232_000,
+    read_tokens_per_s=206_000.0,
+    pair_s=138e-12,
+    step_s=1.02e-3,
+    step_per_stream_s=4.52e-6,
+    step_per_context_token_s=4.31e-9,
+    steps_per_pass=43,
+    chunk_tokens=2048,
+    hop_s=75e-6,
+)
+SHORT = Demand(5_000, 1_300, 0.3, 0.25, 1.5)
+LONG = Demand(133_000, 700, 2.5, 1.0, 14.0)
+HUGE = Demand(450_000, 700, 2.5, 1.0, 46.0)
+
+
+class Fleet:
+    """Engines with commitments."""
+
+    def __init__(self, engines: int) -> None:
+        self.ledger = CommitmentLedger()
+        self.servers = [
+            BackendServer(f"engine-{i}", "g", "10.0.0.1", 8000 + i, "z", 8)
+            for i in range(engines)
+        ]
+        self._ids = 0
+
+    def add(
+        self,
+        engine: int,
+        demand: Demand,
+        *,
+        read_s: float | None = None,
+        helper: bool = False,
+        writing: bool = False,
+        now_s: float = 0.0,
+    ) -> None:
+        self._ids += 1
+        id_ = f"c{self._ids}"
+        self.ledger.add(
+            Commitment(
+                id_,
+                self.servers[engine].id,
+                helper,
+                PROFILE.read_s(demand.prompt_tokens) if read_s is None else read_s,
+                1.5,
+                0 if helper else demand.kv_tokens,
+                demand.pause_goal_s,
+                demand.value,
+                now_s + demand.goal_left_s,
+                60.0,
+            ),
+            now_s,
+        )
+        if writing:
+            self.ledger.first_event(id_, now_s)
+
+    def candidates(self) -> list[Candidate]:
+        return [Candidate(item, self.ledger.load(item.id)) for item in self.servers]
+
+    def choose(self, demand: Demand, now_s: float = 0.0):
+        return choose_engines(demand, self.candidates(), PROFILE, now_s)
+
+
+class TestCalm:
+    def test_short_prompt_takes_one_engine(self):
+        placement = Fleet(8).choose(SHORT)
+        assert placement.helpers == ()
+        assert placement.first_event_s < SHORT.goal_left_s
+
+    def test_long_prompt_is_prompt(self):
+        placement = Fleet(8).choose(LONG)
+        assert placement.own_loss == 0.0
+        assert placement.first_event_s < LONG.goal_left_s
+
+    def test_prompt_larger_than_an_engine_is_spread_with_reservations(self):
+        fleet = Fleet(8)
+        demand = Demand(600_000, 700, 2.5, 1.0, 61.0)
+        placement = fleet.choose(demand)
+        engines = 1 + len(placement.helpers)
+        assert placement.helper_kv_tokens * engines >= demand.kv_tokens
+        assert placement.helper_kv_tokens <= PROFILE.kv_capacity_tokens
+
+    def test_no_engine_without_slots_is_chosen(self):
+        fleet = Fleet(2)
+        for _ in range(8):
+            fleet.add(0, SHORT, writing=True)
+        assert fleet.choose(SHORT).first.id == "engine-1"
+        for _ in range(8):
+            fleet.add(1, SHORT, writing=True)
+        assert fleet.choose(SHORT) is None
+
+    def test_memory_is_never_overcommitted(self):
+        fleet = Fleet(2)
+        for engine in (0, 1):
+            for _ in range(2):
+                fleet.add(engine, Demand(80_000, 500, 2.5, 1.0, 9.0), writing=True)
+        assert fleet.choose(Demand(150_000, 500, 2.5, 1.0, 16.0)) is None
+        assert fleet.choose(SHORT) is not None
+
+
+class TestShortStreamsBesideOneLongPrompt:
+    def test_long_prompt_goes_where_nobody_writes(self):
+        fleet = Fleet(6)
+        for engine in range(4):
+            for _ in range(3):
+                fleet.add(engine, SHORT, writing=True)
+        placement = fleet.choose(LONG)
+        chosen = {placement.first.id, *(item.id for item in placement.helpers)}
+        assert chosen <= {"engine-4", "engine-5"}
+
+    def test_short_prompt_avoids_engines_that_read(self):
+        fleet = Fleet(3)
+        fleet.add(0, LONG, read_s=1.0)
+        fleet.add(1, LONG, read_s=1.0)
+        assert fleet.choose(SHORT).first.id == "engine-2"
+
+    def test_parts_fit_the_pauses_of_streams_everywhere(self):
+        fleet = Fleet(20)
+        for engine in range(20):
+            fleet.add(engine, SHORT, writing=True)
+        placement = fleet.choose(Demand(60_000, 700, 1.5, 0.6, 7.0))
+        assert placement.part_read_s < 0.15
+
+
+class TestGangsCrossing:
+    def test_a_part_being_read_counts_as_waiting(self):
+        """A second gang must not delay the first through one of its helpers."""
+        fleet = Fleet(4)
+        for engine in (0, 1):
+            fleet.add(engine, LONG, read_s=1.2, helper=engine > 0)
+        placement = fleet.choose(LONG)
+        chosen = {placement.first.id, *(item.id for item in placement.helpers)}
+        assert chosen <= {"engine-2", "engine-3"}
+
+
+class TestLongPromptInABurstOfShortOnes:
+    def _burst(self, streams: int) -> Fleet:
+        fleet = Fleet(12)
+        for engine in range(12):
+            for _ in range(streams):
+                fleet.add(engine, SHORT, writing=True)
+        return fleet
+
+    def test_it_waits_while_engines_are_scarce(self):
+        fleet = self._burst(6)
+        placement = fleet.choose(HUGE)
+        assert worth_waiting(HUGE, placement, slack_s=8.0)
+
+    def test_it_goes_at_last_rather_than_fail(self):
+        fleet = self._burst(2)
+        placement = fleet.choose(HUGE)
+        assert not worth_waiting(HUGE, placement, slack_s=0.0)
+
+    def test_it_does_not_wait_while_engines_are_free(self):
+        fleet = Fleet(12)
+        placement = fleet.choose(LONG)
+        assert not worth_waiting(LONG, placement, slack_s=8.0)
+
+
+class TestEveryFreePlaceIsBehindALongRead:
+    def test_short_prompt_waits_for_a_place_that_keeps_it_prompt(self):
+        fleet = Fleet(2)
+        fleet.add(0, LONG, read_s=1.6)
+        for _ in range(8):
+            fleet.add(1, SHORT, writing=True)
+        placement = fleet.choose(SHORT)
+        assert placement.first.id == "engine-0"
+        assert worth_waiting(SHORT, placement, slack_s=8.0)
+
+    def test_late_already_it_takes_the_earliest(self):
+        fleet = Fleet(2)
+        fleet.add(0, LONG, read_s=1.6)
+        fleet.add(1, LONG, read_s=0.4)
+        late = SHORT._replace(goal_left_s=-0.1)
+        assert fleet.choose(late).first.id == "engine-1"
--- /dev/null
+++ b/tests/placement/test_queue.py
@@ -0,0 +1,57 @@
+"""The order of waiting requests, and what one change costs."""
+
+import asyncio
+
+from gentianhoist.fleet import BackendServer
+from gentianhoist.placement import (
+    Demand,
+    Placement,
+    PlacementQueue,
+    Refused,
+    Waiting,
+)
+
+_PLACED = Placement(BackendServer("s", "g", "h", 1, "z", 8), (), 0.1, 0.1, 0, 0.0, 0.0)
+
+
+def _waiting(demand: Demand, place, give_up_s: float = 10.0) -> Waiting:
+    future = asyncio.get_running_loop().create_future()
+    return Waiting(demand, give_up_s, 1, place, future)
+
+
+def _demand(tokens: int, value: float = 1.0) -> Demand:
+    return Demand(tokens, 100, 1.0, 0.25, value)
+
+
+class TestPlacementQueue:
+    async def test_full_fleet_costs_one_try_a_change(self):
+        """Burst of many short ones with every slot taken: a change stays cheap."""
+        tries = 0
+
+        def no_room() -> None:
+            nonlocal tries
+            tries += 1
+
+        queue = PlacementQueue()
+        for _ in range(300):
+            queue.join(_waiting(_demand(5_000), no_room))
+        queue.changed(0.0)
+        assert tries == 1
+
+    async def test_smaller_prompts_pass_one_that_finds_no_memory(self):
+        queue = PlacementQueue()
+        large = _waiting(_demand(200_000, value=50.0), lambda: None)
+        small = _waiting(_demand(5_000), lambda: _PLACED)
+        queue.join(large)
+        queue.join(small)
+        queue.changed(0.0)
+        assert small.result.result() is _PLACED
+        assert not large.result.done()
+
+    async def test_too_late_is_refused(self):
+        queue = PlacementQueue()
+        item = _waiting(_demand(5_000), lambda: None, give_up_s=1.0)
+        queue.join(item)
+        queue.changed(1.0)
+        assert isinstance(item.result.result(), Refused)
+        assert not len(queue)
