Start faster, and serve the first moments after a start

Cause: after a loss of power every entry refused what came before its first read of the store, chose engines without knowing what the others had just sent, and loaded libraries that it does not use.

Log lines are written in pieces that a pipe takes whole: some were torn.

--- a/gentianhoist/fleet/_registry.py
+++ b/gentianhoist/fleet/_registry.py
@@ -73,8 +73,9 @@
         while True:
             pause_s = _RENEW_S
             try:
-                await self._rows.renew(self._host)
+                # The others first: they tell what engines are busy with.
                 self._take(await self._rows.hosts())
+                await self._rows.renew(self._host)
             except StoreUnavailable as error:
                 self._log.record("registry_unavailable", reason=str(error))
                 pause_s = _RETRY_S
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -40,6 +40,8 @@
 __all__ = ["Boundary", "Gateway", "GatewaySettings", "OperatorView"]
 
 _TICK_S = 0.25
+# How long requests are held at the start until the store has been read.
+_START_HOLD_S = 0.4
 # Time between two looks at the queue while something waits in it.
 _BUSY_TICK_S = 0.02
 _MIN_LISTEN_S = 3.2
@@ -151,6 +153,8 @@
         self._state = DispatchState(settings.dispatch)
         self._operator_rows: dict[str, FeedRow] = {}
         self._leaving = False
+        self._known = asyncio.Event()
+        self._hold_until_s = 0.0
         self._ticker: asyncio.Task[None] | None = None
         self._peers = PeerLink(
             f"{settings.host}-{secrets.token_hex(3)}",
@@ -192,6 +196,7 @@
     async def start(self) -> None:
         """Start to follow the store, then to listen."""
         settings = self._settings
+        self._hold_until_s = asyncio.get_running_loop().time() + _START_HOLD_S
         await self._peers.start()
         for follower in self._followers:
             follower.start()
@@ -258,6 +263,7 @@
         ]
 
     async def _serve(self, request: CallerRequest, responder: Responder) -> None:
+        await self._wait_until_known()
         try:
             call = self._boundary.decode_call(request)
         except HoistError as error:
@@ -267,6 +273,21 @@
             return
         await self._dispatcher.handle(call, responder)
 
+    async def _wait_until_known(self) -> None:
+        """Hold requests of the first moments until the store has been read."""
+        if self._known.is_set():
+            return
+        left_s = self._hold_until_s - asyncio.get_running_loop().time()
+        try:
+            async with asyncio.timeout(max(0.0, left_s)):
+                await self._known.wait()
+        except TimeoutError:
+            self._log.record("serving_without_store")
+
+    def _note_known(self) -> None:
+        if self._state.replica.current is not None and self._state.directory.known:
+            self._known.set()
+
     def _refused(self, status: int) -> None:
         self._metrics.answered(f"unreadable_{status}", 0.0)
         self._log.record("refused_unreadable", status=status)
@@ -304,6 +325,7 @@
             self._log.record(
                 "configuration_taken", version=view.configuration.version, before=before
             )
+        self._note_known()
         if view.zones_out != self._state.directory.zones_out:
             self._state.directory.take_zones_out(view.zones_out)
             self._log.record("zones_out", zones=sorted(view.zones_out))
@@ -312,6 +334,7 @@
         now_s = self._clock.elapsed_s()
         listings = self._boundary.decode_servers(rows, now_s)
         self._state.directory.replace(listings, now_s)
+        self._note_known()
         self._servers_changed()
 
     def _change_servers(self, rows: list[FeedRow]) -> None:
--- a/gentianhoist/store/__init__.py
+++ b/gentianhoist/store/__init__.py
@@ -1,6 +1,9 @@
 """Clients of the platform: table service, object store, weights, instance list."""
 
-from gentianhoist.store._http import HttpPlatform
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
 from gentianhoist.store._settling import transact_settled
 from gentianhoist.store.core import (
     Check,
@@ -15,6 +18,9 @@
     new_transaction_id,
 )
 
+if TYPE_CHECKING:
+    from gentianhoist.store._http import HttpPlatform
+
 __all__ = [
     "Check",
     "ConditionFailed",
@@ -29,3 +35,12 @@
     "new_transaction_id",
     "transact_settled",
 ]
+
+
+def __getattr__(name: str) -> object:
+    # Processes that never speak to this client start faster without its library.
+    if name == "HttpPlatform":
+        from gentianhoist.store._http import HttpPlatform
+
+        return HttpPlatform
+    raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
--- a/gentianhoist/telemetry/_decisions.py
+++ b/gentianhoist/telemetry/_decisions.py
@@ -7,7 +7,7 @@
 import threading
 import time
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import TextIO
 
 import msgspec
@@ -16,6 +16,7 @@
 
 _MAX_LINES = 5_000
 _FLUSH_S = 0.2
+_WHOLE_WRITE_BYTES = 4096
 _RESERVED = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
 
 
@@ -97,6 +98,10 @@
             )
         if not lines:
             return
+        for chunk in _chunks(lines):
+            self._write(chunk)
+
+    def _write(self, lines: list[bytes]) -> None:
         try:
             self._stream.write(b"\n".join(lines).decode() + "\n")
             self._stream.flush()
@@ -105,6 +110,20 @@
             self._dropped += len(lines)
 
 
+def _chunks(lines: list[bytes]) -> Iterator[list[bytes]]:
+    """Lines in groups that a pipe takes whole, so that none is torn."""
+    group: list[bytes] = []
+    size = 0
+    for line in lines:
+        if group and size + len(line) + 1 > _WHOLE_WRITE_BYTES:
+            yield group
+            group, size = [], 0
+        group.append(line)
+        size += len(line) + 1
+    if group:
+        yield group
+
+
 class _ToDecisionLog(logging.Handler):
     def __init__(self, log: DecisionLog) -> None:
         super().__init__()
