--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -130,7 +130,8 @@
                 if first:
                     first = False
                     self._placer.first_event(reserved, self._loop.time() - sent_s)
-                await self._pass_on(event, answer)
+                if not self._passed_on_before(event):
+                    await self._pass_on(event, answer)
             if not first:
                 until_s = self._pause_until_s()
         if reader.rest.strip():
@@ -138,6 +139,14 @@
         if first:
             raise AttemptFailed(Execution.UNKNOWN, "the stream has no events")
 
+    def _passed_on_before(self, event: StreamEvent) -> bool:
+        """Whether a resumed run repeats an event; ids increase along a stream."""
+        if event.id is None or self._last_id is None:
+            return False
+        if not (event.id.isdigit() and self._last_id.isdigit()):
+            return event.id == self._last_id
+        return int(event.id) <= int(self._last_id)
+
     async def _data(self, attempt: Attempt, until_s: float) -> bytes:
         try:
             async with asyncio.timeout_at(until_s):
--- a/gentianhoist/http1/_server.py
+++ b/gentianhoist/http1/_server.py
@@ -303,7 +303,8 @@
                 self._answer_refusal(self._refusal)
             return
         request = self._queue.popleft()
-        self._disarm()
+        if not self._in_headers:
+            self._disarm()
         self._transport.resume_reading()
         last = bool(self._refusal) and not self._queue
         responder = Responder(
@@ -343,9 +344,8 @@
         responder.whole(status, [], b"")
 
     def _headers_too_slow(self) -> None:
-        if self._task is None and not self._queue:
-            self._refusal = _REQUEST_TIMEOUT
-            self._next()
+        self._refusal = self._refusal or _REQUEST_TIMEOUT
+        self._next()
 
     def _idle_too_long(self) -> None:
         if self.idle:
--- /dev/null
+++ b/tests/platform_adapter/conftest.py
@@ -0,0 +1,146 @@
+"""A small platform with one entry on it, all in this process."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import aiohttp
+import pytest
+
+from gentianhoist.gateway import Gateway
+from gentianhoist.telemetry import DecisionLog
+from gentianhoist_platform.entry import PlatformBoundary
+from gentianhoist_platform.settings import PlatformSettings, gateway_settings
+from gentianhoist_platform.standins import ServerStandin, StoreStandin
+
+ENGINE = {
+    "slots": 8,
+    "kv_capacity": 232_000,
+    "stride": 43,
+    "step_ms": 1.02,
+    "per_seq_ms": 0.0045,
+    "context_per_k": 0.0043,
+    "read_per_s": 206_000.0,
+    "pairs_per_m": 0.138,
+    "chunk": 2048,
+}
+
+
+def operator_configuration(version: int) -> dict:
+    """A configuration with one route of each kind."""
+    common = {"host": "a.example", "timeout_ms": 3000, "priority": 1, "max_attempts": 2}
+    return {
+        "version": version,
+        "routes": [
+            common
+            | {
+                "name": "brief",
+                "prefix": "/brief/",
+                "route_kind": "streaming",
+                "service": "engines",
+                "goal_ms": 300,
+                "resumable": True,
+                "gap_goal_ms": 250,
+            },
+            common
+            | {
+                "name": "press",
+                "prefix": "/press/",
+                "route_kind": "non_idempotent",
+                "service": "desk",
+                "goal_ms": 100,
+            },
+            common
+            | {
+                "name": "look",
+                "prefix": "/look/",
+                "route_kind": "idempotent",
+                "service": "desk",
+                "goal_ms": 100,
+            },
+        ],
+        "services": [
+            {"name": "engines", "max_conns": 100, "engine": ENGINE},
+            {"name": "desk", "max_conns": 100},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 1000,
+            "idle_timeout_ms": 5000,
+        },
+        "tenants": [{"name": "club", "api_keys": ["key-1"]}],
+    }
+
+
+@dataclass
+class Deployment:
+    """The store, some servers and one entry."""
+
+    store: StoreStandin
+    settings: PlatformSettings
+    gateway: Gateway
+    log: DecisionLog
+    session: aiohttp.ClientSession
+    servers: dict[str, ServerStandin] = field(default_factory=dict)
+
+    async def add_server(self, id_: str, service: str) -> ServerStandin:
+        server = ServerStandin(
+            id_, service, "z1", self.store, streaming=service == "engines"
+        )
+        await server.start()
+        self.servers[id_] = server
+        return server
+
+    async def ask(self, path: str, attempt: str, **headers: str):
+        """One request; returns status, headers and body."""
+        url = f"http://127.0.0.1:{self.settings.callers.port}{path}"
+        sent = {
+            "Host": "a.example",
+            "Attempt-Id": attempt,
+            "Deadline-Ms": "2000",
+            "Key": "key-1",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        async with self.session.post(url, headers=sent, data=b"{}") as response:
+            return response.status, response.headers, await response.read()
+
+    async def until(self, condition, within_s: float = 3.0) -> None:
+        """Wait until something holds."""
+        async with asyncio.timeout(within_s):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+async def deployment(unused_tcp_port_factory, session):
+    store = StoreStandin()
+    store_port = await store.start()
+    ports = [unused_tcp_port_factory() for _ in range(4)]
+    settings = PlatformSettings.model_validate({
+        "node_name": "edge-1",
+        "ip": "127.0.0.1",
+        "zone": "z1",
+        "listen.frontend": f"127.0.0.1:{ports[0]}",
+        "listen.ready": f"127.0.0.1:{ports[1]}",
+        "internal_ports": f"{ports[2]},{ports[2]}",
+        "platform.address": f"127.0.0.1:{store_port}",
+        "bounds.grace_s": 1.5,
+    })
+    log = DecisionLog({})
+    gateway = Gateway(
+        gateway_settings(settings)._replace(metrics_port=ports[3]),
+        PlatformBoundary(settings),
+        log,
+    )
+    running = Deployment(store, settings, gateway, log, session)
+    store.put("op", "config", operator_configuration(7))
+    for number in range(2):
+        await running.add_server(f"e{number}", "engines")
+        await running.add_server(f"d{number}", "desk")
+    await gateway.start()
+    await running.until(lambda: gateway.ready)
+    yield running
+    await gateway.close()
+    for server in running.servers.values():
+        await server.close()
+    await store.close()
