--- a/gentianhoist/dispatch/core.py
+++ b/gentianhoist/dispatch/core.py
@@ -118,7 +118,13 @@
         )
 
     def refresh(self, request: Request) -> str | None:
-        """Check against a newer configuration; why it forbids the request, if so."""
+        """Check against a newer configuration; why it forbids the request, if so.
+
+        A request that was sent before goes on under the configuration that it began
+        with: breaking it off would lose an answer that the change doesn't ask for.
+        """
+        if request.sends:
+            return None
         configuration = self.state.replica.current
         if configuration is None or configuration.version == request.version:
             return None
--- a/tests/platform_adapter/test_entry.py
+++ b/tests/platform_adapter/test_entry.py
@@ -2,6 +2,10 @@
 
 import asyncio
 
+import msgspec
+
+from gentianhoist.fleet import FeedRow
+from gentianhoist_platform.configuration import decode_operators
 from tests.platform_adapter.conftest import operator_configuration
 
 STREAM = b"".join(b"id: %d\ndata: x%d\n\n" % (i, i) for i in range(1, 6))
@@ -99,6 +103,25 @@
         assert replica.version == 12
         assert (await deployment.ask("/look/", "o3", Key="key-2"))[0] == 200
 
+    async def test_a_stream_is_resumed_though_its_key_was_revoked(self, deployment):
+        for server in deployment.servers.values():
+            server.faults.cut_after_events = 2
+        revoked = operator_configuration(13)
+        revoked["tenants"] = [{"name": "club", "api_keys": ["key-2"]}]
+        taken = deployment.gateway._state.replica.take
+        forward = deployment.gateway._peers.first_event
+
+        def revoke_at_the_first_event(id_: str) -> None:
+            forward(id_)
+            rows = {"config": FeedRow("config", msgspec.json.encode(revoked), 99)}
+            taken(decode_operators(rows).configuration)
+
+        deployment.gateway._peers.first_event = revoke_at_the_first_event
+        status, _, body = await deployment.ask("/brief/x", "o7", Token_Count="5000,9")
+        assert (status, body) == (200, STREAM)
+        assert deployment.gateway._state.replica.version == 13
+        assert (await deployment.ask("/brief/x", "o8", Token_Count="50,9"))[0] == 401
+
     async def test_zone_out_and_back(self, deployment):
         deployment.store.put("op", "evacuate/z1", {})
         directory = deployment.gateway._state.directory
