Part entries that choose in the same moment; look at the queue in turn with rests

Cause: on the grown sites most late short streams had up to seven others placed on the same engine within 10 ms by other entries: 27 entries that see the same loads take the same engine.

Change: chance in the order of engines, the more the more entries; looks at the queue are gathered and followed by a rest of five times their length.

Conclusion: helps many entries; whether it hurts four is to be seen.

--- a/gentianhoist/dispatch/_placing.py
+++ b/gentianhoist/dispatch/_placing.py
@@ -112,7 +112,7 @@
         ratio = after_s / max(0.02, expected_s)
         server = reserved.placement.first
         self._state.evidence.of(server.incarnation).succeeded(now_s, ratio)
-        self._state.queue.changed(now_s)
+        self._dispatcher.pump.wake()
 
     def release(self, reserved: Reserved) -> None:
         """Give everything back; safe to call more than once."""
@@ -129,7 +129,7 @@
     def _end(self, id_: str) -> None:
         self._state.ledger.end(id_)
         self._dispatcher.peers.ended(id_)
-        self._state.queue.changed(self._dispatcher.clock.elapsed_s())
+        self._dispatcher.pump.wake()
 
     async def _engines(self, id_: str) -> Placement:
         placement = self._try(id_)
--- a/gentianhoist/dispatch/_state.py
+++ b/gentianhoist/dispatch/_state.py
@@ -24,6 +24,8 @@
 
 
 _ORDER_SEED = "streams"
+_GATHER_VALUE = 0.03
+_CHANCE_VALUE_PER_ENTRY = 0.003
 
 
 class DispatchPolicy(NamedTuple):
@@ -83,6 +85,7 @@
         self.queue = PlacementQueue()
         self.rng = random.Random(seed)
         self.outstanding: dict[str, int] = {}
+        self.live_entries = 1
         self._orders: dict[str, float] = {}
         self._pools: dict[tuple[str, str, int], ConnectionPool] = {}
         self._budgets: dict[str, RetryBudget] = {}
@@ -102,12 +105,19 @@
         return pool
 
     def stream_order(self, server_id: str) -> float:
-        """Place of an engine, 0 to 1, in an order that all entries share."""
+        """Value of leaving an engine alone, other things being equal.
+
+        Streams gather on engines that come first in an order that all entries share,
+        so that others stay free for long prompts. Entries that choose within the time
+        that news take must not all take the same engine, so chance has the more weight
+        the more entries there are.
+        """
         order = self._orders.get(server_id)
         if order is None:
             order = rendezvous_weight(_ORDER_SEED, server_id) / 2**64
             self._orders[server_id] = order
-        return order
+        chance = _CHANCE_VALUE_PER_ENTRY * self.live_entries
+        return _GATHER_VALUE * order + chance * self.rng.random()
 
     def budget(self, group: str) -> RetryBudget:
         """The entry's part of the repeats to a group."""
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -162,7 +162,7 @@
             settings.peers_port,
             self._state.ledger,
             self._clock,
-            lambda: self._state.queue.changed(self._clock.elapsed_s()),
+            lambda: self._dispatcher.pump.wake(),
         )
         self._dispatcher = Dispatcher(
             self._state,
@@ -230,6 +230,7 @@
             await follower.close()
         await self._registry.close()
         await self._peers.close()
+        self._dispatcher.pump.close()
         self._state.close()
         await self._boundary.close()
 
@@ -346,7 +347,7 @@
 
     def _servers_changed(self) -> None:
         self._state.servers_changed()
-        self._state.queue.changed(self._clock.elapsed_s())
+        self._dispatcher.pump.wake()
 
     async def _tick(self) -> None:
         """Age what nobody tells the end of."""
@@ -355,7 +356,8 @@
             now_s = self._clock.elapsed_s()
             self._state.ledger.expire(now_s)
             self._peers.tick(now_s)
-            self._state.queue.changed(now_s)
+            self._state.live_entries = 1 + self._peers.live
+            self._dispatcher.pump.wake()
             self._metrics.beliefs(
                 self._state.replica.version,
                 len(self._state.directory.servers),
--- a/gentianhoist/peers/core.py
+++ b/gentianhoist/peers/core.py
@@ -18,7 +18,7 @@
 
 _log = logging.getLogger(__name__)
 
-_GATHER_S = 0.002
+_GATHER_S = 0.001
 _MAX_ITEMS = 12
 # An entry that has nothing to tell says so this often.
 _KEEP_ALIVE_S = 0.6
@@ -127,6 +127,11 @@
         """IP numbers of the other entries."""
         return frozenset(self._peers)
 
+    @property
+    def live(self) -> int:
+        """Other entries heard of lately."""
+        return len(self._heard)
+
     async def start(self) -> None:
         """Open the socket."""
         loop = asyncio.get_running_loop()
--- a/gentianhoist/placement/_choice.py
+++ b/gentianhoist/placement/_choice.py
@@ -35,7 +35,6 @@
         safe_ratio: Part of a limit up to which an expected time is safe.
         certain_ratio: Part of a limit from which on an expected time is late.
         network_s: Round trip and scheduling that every answer pays.
-        spread_value: Value of leaving an engine without streams free for reading.
         stream_value: Value of the room that one more stream takes on an engine.
         kv_fill_ratio: Part of the KV memory that is planned with.
         handover_s: Time from the last part read to the first event, with helpers.
@@ -51,7 +50,6 @@
     safe_ratio: float = 0.65
     certain_ratio: float = 1.05
     network_s: float = 0.01
-    spread_value: float = 0.03
     stream_value: float = 0.01
     kv_fill_ratio: float = 0.97
     handover_s: float = 0.01
@@ -96,7 +94,9 @@
         load: Its commitments.
         slowness: Its time for a piece of work, as a ratio of what is usual.
         penalty: Value that choosing it is expected to lose, by its recent failures.
-        order: Place in an order that all entries share; streams gather on low ones.
+        order: Value of leaving it alone: its place in an order that all entries share,
+            on whose low ones streams gather, and chance, which parts entries that
+            choose in the same moment.
         startable: Whether it may be given a request now, by its cold start.
     """
 
@@ -359,7 +359,7 @@
         + policy.late_loss_ratio * delayed
         + price_per_s * (0.5 * engine.backlog_s + read_s)
         + policy.stream_value * len(engine.writers)
-        + policy.spread_value * candidate.order
+        + candidate.order
     )
     # Work that comes during a pass waits for its end, and for its own pass.
     ready_s = policy.network_s + engine.backlog_s + read_s + 1.5 * engine.pass_s
--- /dev/null
+++ b/tests/dispatch/test_herd.py
@@ -0,0 +1,41 @@
+"""Many entries that choose engines before they hear of each other's choice."""
+
+from collections import Counter
+
+from gentianhoist.dispatch import DispatchPolicy, DispatchState
+from gentianhoist.fleet import BackendServer
+from gentianhoist.placement import Candidate, Demand, choose_engines
+from tests.dispatch.fakes import PROFILE
+
+SHORT = Demand(5_000, 1_300, 0.3, 0.25, 1.5)
+
+
+def _choices(entries: int, engines: int) -> Counter[str]:
+    """What each entry chooses at the same moment, on the same empty ledger."""
+    servers = [
+        BackendServer(f"engine-{i}", "g", "10.0.0.1", 8000 + i, "z", 8)
+        for i in range(engines)
+    ]
+    chosen: Counter[str] = Counter()
+    for entry in range(entries):
+        state = DispatchState(DispatchPolicy(), seed=entry)
+        state.live_entries = entries
+        candidates = [
+            Candidate(
+                item, state.ledger.load(item.id), order=state.stream_order(item.id)
+            )
+            for item in servers
+        ]
+        placement = choose_engines(SHORT, candidates, PROFILE, 0.0)
+        assert placement is not None
+        chosen[placement.first.id] += 1
+    return chosen
+
+
+class TestManyEntriesAtOnce:
+    def test_twenty_seven_entries_part(self):
+        assert max(_choices(27, 78).values()) <= 4
+
+    def test_few_entries_gather_on_some_engines(self):
+        """So that others stay free of streams for long prompts."""
+        assert len(_choices(4, 78)) <= 4
