--- a/gentianhoist/dispatch/_placing.py
+++ b/gentianhoist/dispatch/_placing.py
@@ -324,7 +324,7 @@
             "placed",
             self._request.call.id,
             server=placement.first.id,
-            helpers=len(placement.helpers),
+            helpers=[server.id for server in placement.helpers],
             part_read_s=round(placement.part_read_s, 4),
             expected_first_event_s=round(placement.first_event_s, 4),
             own_loss=round(placement.own_loss, 3),
