Wait for a silent server where nobody else may be asked

A server's silence alone must not end an answer.

Change: the repeat is reserved before a silent server is given up; without one the wait goes on to the request's end. The test failed before for calls and for streams (504, broken off).

--- a/gentianhoist/dispatch/_sending.py
+++ b/gentianhoist/dispatch/_sending.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from gentianhoist.dispatch._attempt import Attempt, AttemptFailed, Execution
-from gentianhoist.dispatch._ports import SendOptions
+from gentianhoist.dispatch._ports import SendOptions, ServerAnswer
 from gentianhoist.dispatch._request import Request
 from gentianhoist.exceptions import ErrorKind, HoistError
 from gentianhoist.fleet import BackendServer, ServerGroup
@@ -36,6 +36,7 @@
         self._request = request
         self._loop = asyncio.get_running_loop()
         self._tries = 0
+        self._repeat_reserved = False
 
     @property
     def group(self) -> ServerGroup:
@@ -135,15 +136,52 @@
 
     def may_repeat(self, failure: AttemptFailed) -> bool:
         """Whether the request may go to another server after a failed send."""
-        request = self._request
-        policy = self._state.policy
-        if self._tries >= _MAX_TRIES or request.sends >= policy.max_sends:
-            return False
-        if not request.may_run_again:
+        if not self._sends_left:
             return False
         if failure.execution is Execution.UNSENT:
             return True
-        return self._state.budget(request.chosen_group).spend()
+        reserved, self._repeat_reserved = self._repeat_reserved, False
+        return reserved or self._state.budget(self._request.chosen_group).spend()
+
+    def reserve_repeat(self) -> bool:
+        """Whether a silent server may be given up, since another may be asked instead.
+
+        Where it may not, its answer is waited for: silence alone ends no request.
+        """
+        if not self._repeat_reserved and self._sends_left:
+            budget = self._state.budget(self._request.chosen_group)
+            self._repeat_reserved = budget.spend()
+        return self._repeat_reserved
+
+    @property
+    def _sends_left(self) -> bool:
+        request = self._request
+        if self._tries >= _MAX_TRIES or request.sends >= self._state.policy.max_sends:
+            return False
+        return request.may_run_again
+
+    async def answer(
+        self, attempt: Attempt, until_s: float, patience_s: float
+    ) -> ServerAnswer:
+        """Wait for the head of an answer, and longer where nobody else may be asked.
+
+        Args:
+            attempt: The send.
+            until_s: When the server counts as silent, on the loop's clock.
+            patience_s: Time that is added as long as nobody else may be asked.
+
+        Raises:
+            AttemptFailed: If there is none that may be passed on.
+        """
+        while True:
+            try:
+                return await attempt.answer(until_s)
+            except AttemptFailed as failure:
+                if not failure.silent or self.reserve_repeat():
+                    raise
+                if until_s >= self._request.end_s:
+                    raise
+            until_s = min(self._request.end_s, self._loop.time() + patience_s)
 
     def gave_up(self, failure: AttemptFailed) -> HoistError:
         """The error that a request ends with after its last failed send."""
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -83,7 +83,7 @@
         sent_s = self._loop.time()
         try:
             until_s = self._first_event_until_s(reserved)
-            answer = await attempt.answer(until_s)
+            answer = await self.answer(attempt, until_s, _MIN_FIRST_EVENT_S)
             if answer.status != _OK:
                 return await self._pass_on_failure(attempt, answer)
             await self._relay(attempt, answer, reserved, sent_s, until_s)
@@ -148,13 +148,16 @@
         return int(event.id) <= int(self._last_id)
 
     async def _data(self, attempt: Attempt, until_s: float) -> bytes:
-        try:
-            async with asyncio.timeout_at(until_s):
-                return await attempt.data()
-        except TimeoutError:
-            raise AttemptFailed(
-                Execution.UNKNOWN, "the stream has stopped", silent=True
-            ) from None
+        while True:
+            try:
+                async with asyncio.timeout_at(until_s):
+                    return await attempt.data()
+            except TimeoutError:
+                if until_s >= self._request.end_s or self.reserve_repeat():
+                    raise AttemptFailed(
+                        Execution.UNKNOWN, "the stream has stopped", silent=True
+                    ) from None
+            until_s = min(self._request.end_s, self._loop.time() + _MIN_PAUSE_S)
 
     def _pause_until_s(self) -> float:
         request = self._request
--- a/gentianhoist/dispatch/_whole.py
+++ b/gentianhoist/dispatch/_whole.py
@@ -88,7 +88,8 @@
         attempt = await self.send(server, options, max_idle_s=idle_s)
         sent_s = self._loop.time()
         try:
-            answer = await attempt.answer(self._patience_until_s())
+            until_s = self._patience_until_s()
+            answer = await self.answer(attempt, until_s, self._patience_s)
             complete = _Complete(answer, await attempt.body())
         finally:
             self.finish(attempt)
@@ -102,13 +103,15 @@
         now_s = self._loop.time()
         if not request.idempotent or len(self.candidates()) < 2:
             return request.end_s
-        policy = self._state.policy
-        patience_s = max(
-            policy.min_patience_s, policy.silent_ratio * request.route.goal_s
-        )
         if request.sends >= request.route.max_servers:
             return request.end_s
-        return min(request.end_s, now_s + patience_s)
+        return min(request.end_s, now_s + self._patience_s)
+
+    @property
+    def _patience_s(self) -> float:
+        policy = self._state.policy
+        goal_s = self._request.route.goal_s
+        return max(policy.min_patience_s, policy.silent_ratio * goal_s)
 
     def _learn_answer(
         self, server: BackendServer, complete: _Complete, elapsed_s: float
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -50,6 +50,7 @@
     OTHER_FIRST = "sends another request's answer first"
     CUT = "runs it and cuts the answer"
     RUN_LATE = "runs it after a second and says nothing"
+    SLOW = "runs it and answers after a while"
     FORGET_RESUMING = "runs it from the start and answers"
 
 
@@ -79,9 +80,12 @@
         self._heads = 0
         self._parts = [b"id: 1\n\n", b"id: 2\n\n", b""]
         self._closed = False
+        self._ready_s = 0.0
 
     def send(self, data: bytes, *, head_only: bool = False) -> None:
         self._world.sends += 1
+        work_s = 1.4 if self._does is Does.SLOW else 0.01
+        self._ready_s = asyncio.get_running_loop().time() + work_s
         if data and self._does is not Does.FORGET_RESUMING:
             self._parts = self._parts[int(data) :]
         if self._does in {
@@ -92,6 +96,7 @@
             Does.GARBAGE,
             Does.OTHER_FIRST,
             Does.CUT,
+            Does.SLOW,
             Does.FORGET_RESUMING,
         }:
             self._world.runs.append(self._server.id)
@@ -109,7 +114,8 @@
                 self._heads += 1
                 return ResponseHead(200, [(b"for", b"another")])
         status = {Does.FAIL: 500, Does.REJECT: 503}.get(self._does, 200)
-        await asyncio.sleep(0.01)
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(max(0.0, self._ready_s - loop.time()))
         return ResponseHead(status, [(b"does", self._does.value.encode())])
 
     async def data(self) -> bytes:
--- a/tests/dispatch/test_at_most_once.py
+++ b/tests/dispatch/test_at_most_once.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+import pytest
 from hypothesis import example, given
 from hypothesis import strategies as st
 
@@ -13,10 +14,17 @@
 SCRIPTS = st.lists(st.sampled_from(list(Does)), min_size=1, max_size=6)
 
 
-def _serve(script: list[Does], repeatable: Repeatable, *, streaming: bool):
+def _serve(
+    script: list[Does],
+    repeatable: Repeatable,
+    *,
+    streaming: bool,
+    before=lambda fleet: None,
+):
     loop = InstantLoop()
     fleet = Fleet(loop, itertools.cycle(script))
     fleet.state.replica.take(configuration(repeatable, streaming=streaming))
+    before(fleet)
     responder = FakeResponder()
     tokens = 5_000 if streaming else 0
     request = call(loop, prompt_tokens=tokens)
@@ -105,6 +113,18 @@
         assert responder.status == 500
         assert responder.body
 
+    @pytest.mark.parametrize("streaming", [False, True])
+    def test_a_slow_server_is_waited_for_when_the_budget_is_spent(self, streaming):
+        def spend(fleet) -> None:
+            while fleet.state.budget("g").spend():
+                continue
+
+        fleet, responder, _ = _serve(
+            [Does.SLOW], Repeatable.IDEMPOTENT, streaming=streaming, before=spend
+        )
+        assert responder.status == 200
+        assert len(fleet.world.runs) == 1
+
     def test_a_cut_stream_is_resumed_in_one_answer(self):
         _, responder, _ = _serve(
             [Does.CUT, Does.ANSWER], Repeatable.IDEMPOTENT, streaming=True
