Resume and wait within the time after which callers leave

A silent engine was given up so late that a second one had no time.

Change: a route says after which silence callers leave; waiting by choice and the patience with a first engine end in time for another. The pump looks at the queue also when nothing changes, so the gateway's own fast tick is gone.

--- a/gentianhoist/dispatch/_placing.py
+++ b/gentianhoist/dispatch/_placing.py
@@ -38,6 +38,8 @@
 # Engines that read a long prompt together, for the time that it takes at the least.
 _USUAL_ENGINES = 4
 _LONG_READ_S = 0.15
+# How long before a caller leaves in silence its first event is expected.
+_SILENCE_MARGIN_S = 0.3
 _SHORT_RETRY_S = 0.01
 _LONG_RETRY_S = 0.1
 _plain_ids = itertools.count()
@@ -139,6 +141,7 @@
         if self._state.queue.full:
             raise self._no_room(Refused("too many requests wait", 0.5))
         self._state.queue.join(item)
+        self._dispatcher.pump.wake()
         self._dispatcher.log.record(
             "waiting", self._request.call.id, queue=len(self._state.queue)
         )
@@ -165,10 +168,13 @@
         )
 
     def _slack_s(self, demand: Demand) -> float:
-        """Seconds that the request can wait and still end in its time."""
+        """Seconds that it can wait before its caller leaves or its time is over."""
         read_s = self._profile().read_s(demand.prompt_tokens)
-        alone_s = read_s / _USUAL_ENGINES + self._write_s(demand)
-        return self._request.left_s(self._loop.time()) - alone_s
+        first_s = read_s / _USUAL_ENGINES
+        now_s = self._loop.time()
+        silence_s = self._request.silence_ends_s - now_s - _SILENCE_MARGIN_S
+        end_s = self._request.left_s(now_s) - self._write_s(demand)
+        return min(silence_s, end_s) - first_s
 
     def _try(self, id_: str) -> Placement | Unplaced:
         """Choose engines on the loads of this moment, and commit them."""
--- a/gentianhoist/dispatch/_pump.py
+++ b/gentianhoist/dispatch/_pump.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 from gentianhoist.clocks import Clock
 from gentianhoist.placement import PlacementQueue
@@ -11,6 +12,8 @@
 __all__ = ["QueuePump"]
 
 _MIN_GAP_S = 0.005
+# Time between two looks while nothing changes.
+_IDLE_LOOK_S = 0.02
 # Time left to other work for each second spent on the queue, in seconds.
 _REST_RATIO = 5.0
 
@@ -25,21 +28,25 @@
     Args:
         queue: The waiting requests.
         clock: The entry's clock.
+        stopwatch: Measures what a look takes, in seconds.
     """
 
-    def __init__(self, queue: PlacementQueue, clock: Clock) -> None:
+    def __init__(
+        self,
+        queue: PlacementQueue,
+        clock: Clock,
+        stopwatch: Callable[[], float] = time.perf_counter,
+    ) -> None:
+        self._stopwatch = stopwatch
         self._queue = queue
         self._clock = clock
         self._rest_until_s = float("-inf")
         self._timer: asyncio.TimerHandle | None = None
 
     def wake(self) -> None:
-        """Look at the queue soon, if anything waits in it."""
-        if self._timer is not None or not len(self._queue):
-            return
-        loop = asyncio.get_running_loop()
-        delay_s = max(0.0, self._rest_until_s - loop.time())
-        self._timer = loop.call_later(delay_s, self._look)
+        """Look at the queue as soon as the rest is over, if anything waits in it."""
+        if len(self._queue):
+            self._look_at(self._rest_until_s)
 
     def close(self) -> None:
         """Look no more."""
@@ -48,8 +55,21 @@
 
     def _look(self) -> None:
         self._timer = None
-        began_s = time.perf_counter()
+        began_s = self._stopwatch()
         self._queue.changed(self._clock.elapsed_s())
-        took_s = time.perf_counter() - began_s
+        took_s = self._stopwatch() - began_s
         rest_s = max(_MIN_GAP_S, _REST_RATIO * took_s)
-        self._rest_until_s = asyncio.get_running_loop().time() + rest_s
+        now_s = asyncio.get_running_loop().time()
+        self._rest_until_s = now_s + rest_s
+        if len(self._queue):
+            # Time alone changes what is worth waiting for.
+            self._look_at(now_s + max(rest_s, _IDLE_LOOK_S))
+
+    def _look_at(self, when_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        when_s = max(when_s, loop.time())
+        if self._timer is not None:
+            if self._timer.when() <= when_s:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_at(when_s, self._look)
--- a/gentianhoist/dispatch/_request.py
+++ b/gentianhoist/dispatch/_request.py
@@ -25,6 +25,7 @@
         sends: Sends that reached or may have reached a server.
         runs: Sends to each server that may have run.
         avoid: Servers not to be asked again.
+        heard_s: When the caller last got an event, on the loop's clock.
     """
 
     call: Call
@@ -36,6 +37,7 @@
     sends: int = 0
     runs: Counter[str] = field(default_factory=Counter)
     avoid: set[str] = field(default_factory=set)
+    heard_s: float | None = None
 
     @property
     def end_s(self) -> float:
@@ -70,6 +72,12 @@
             return self.organisation.priority
         return self.route.priority
 
+    @property
+    def silence_ends_s(self) -> float:
+        """When the caller leaves if it gets no event, on the loop's clock."""
+        heard_s = self.call.received_s if self.heard_s is None else self.heard_s
+        return heard_s + self.route.silence_limit_s
+
     def left_s(self, now_s: float) -> float:
         """Seconds until it ends."""
         return self.end_s - now_s
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -23,6 +23,7 @@
 _MIN_FIRST_EVENT_S = 0.9
 _FIRST_EVENT_EXTRA_S = 0.3
 _MIN_PAUSE_S = 0.75
+_SECOND_TRY_S = 0.4
 
 
 class StreamRelay(Sender):
@@ -106,7 +107,11 @@
         ratio = self._state.policy.first_event_ratio
         expected_s = reserved.placement.first_event_s
         patience_s = max(_MIN_FIRST_EVENT_S, ratio * expected_s + _FIRST_EVENT_EXTRA_S)
-        return min(request.end_s, self._loop.time() + patience_s)
+        now_s = self._loop.time()
+        # Another engine must still have time before the caller leaves in silence.
+        last_s = request.silence_ends_s - expected_s - _SECOND_TRY_S
+        until_s = min(now_s + patience_s, max(last_s, now_s + _MIN_PAUSE_S))
+        return min(request.end_s, until_s)
 
     async def _relay(
         self,
@@ -175,9 +180,9 @@
             self._dispatcher.metrics.first_event(self._first_event_s)
         else:
             self._longest_pause_s = max(
-                self._longest_pause_s, now_s - self._last_event_s
+                self._longest_pause_s, now_s - (self._request.heard_s or now_s)
             )
-        self._last_event_s = now_s
+        self._request.heard_s = now_s
         if event.id is not None:
             self._last_id = event.id
         self._passed_on += 1
--- a/gentianhoist/fleet/_routes.py
+++ b/gentianhoist/fleet/_routes.py
@@ -46,6 +46,7 @@
         timeout_s: Longest time that a request is kept.
         goal_s: Time to the answer, or to its first event, that counts as prompt.
         pause_goal_s: Longest pause between two events that counts as prompt.
+        silence_limit_s: Time without an event after which callers leave a stream.
         priority: Rank, 0 is the highest.
         max_servers: Servers that one request may be sent to.
         anonymous: Whether no key is needed.
@@ -60,6 +61,7 @@
     timeout_s: float
     goal_s: float
     pause_goal_s: float
+    silence_limit_s: float
     priority: int
     max_servers: int
     anonymous: bool
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -42,8 +42,6 @@
 _TICK_S = 0.25
 # How long requests are held at the start until the store has been read.
 _START_HOLD_S = 0.4
-# Time between two looks at the queue while something waits in it.
-_BUSY_TICK_S = 0.02
 _MIN_LISTEN_S = 3.2
 _END_MARGIN_S = 0.6
 _POLL_S = 0.05
@@ -352,12 +350,11 @@
     async def _tick(self) -> None:
         """Age what nobody tells the end of."""
         while True:
-            await asyncio.sleep(_BUSY_TICK_S if len(self._state.queue) else _TICK_S)
+            await asyncio.sleep(_TICK_S)
             now_s = self._clock.elapsed_s()
             self._state.ledger.expire(now_s)
             self._peers.tick(now_s)
             self._state.live_entries = 1 + self._peers.live
-            self._dispatcher.pump.wake()
             self._metrics.beliefs(
                 self._state.replica.version,
                 len(self._state.directory.servers),
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -236,6 +236,7 @@
         timeout_s=4.0,
         goal_s=0.2,
         pause_goal_s=0.25,
+        silence_limit_s=2.0,
         priority=1,
         max_servers=2,
         anonymous=False,
--- a/tests/dispatch/test_at_most_once.py
+++ b/tests/dispatch/test_at_most_once.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from gentianhoist.fleet import Repeatable
+from gentianhoist.placement import Commitment
 from tests.dispatch.fakes import Does, FakeResponder, Fleet, call, configuration
 from tests.instant_loop import InstantLoop
 
@@ -125,6 +126,27 @@
         assert responder.status == 200
         assert len(fleet.world.runs) == 1
 
+    def test_a_late_stream_goes_on_before_its_caller_leaves(self):
+        """A server is silent, and engines are busy with other reading."""
+
+        def busy(fleet) -> None:
+            for number, server in enumerate(fleet.servers):
+                fleet.state.ledger.add(
+                    Commitment(
+                        f"x{number}", server.id, False, 0.4, 1.0, 9, 1.0, 1.0, 9.0, 9.0
+                    ),
+                    0.0,
+                )
+
+        _, responder, ended_s = _serve(
+            [Does.SILENT, Does.ANSWER],
+            Repeatable.IDEMPOTENT,
+            streaming=True,
+            before=busy,
+        )
+        assert responder.status == 200
+        assert ended_s < 2.0
+
     def test_a_cut_stream_is_resumed_in_one_answer(self):
         _, responder, _ = _serve(
             [Does.CUT, Does.ANSWER], Repeatable.IDEMPOTENT, streaming=True
