Keep the followers and the pump alive on uvloop

Change: the pump keeps its due time itself; a follower survives whatever its view raises, logs it and reads again.

--- a/gentianhoist/dispatch/_pump.py
+++ b/gentianhoist/dispatch/_pump.py
@@ -41,6 +41,7 @@
         self._queue = queue
         self._clock = clock
         self._rest_until_s = float("-inf")
+        self._due_s = float("-inf")
         self._timer: asyncio.TimerHandle | None = None
 
     def wake(self) -> None:
@@ -69,7 +70,8 @@
         loop = asyncio.get_running_loop()
         when_s = max(when_s, loop.time())
         if self._timer is not None:
-            if self._timer.when() <= when_s:
+            if self._due_s <= when_s:
                 return
             self._timer.cancel()
+        self._due_s = when_s
         self._timer = loop.call_at(when_s, self._look)
--- a/gentianhoist/fleet/_follower.py
+++ b/gentianhoist/fleet/_follower.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import random
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -21,6 +22,9 @@
 ]
 
 
+_log = logging.getLogger(__name__)
+
+
 class FeedRow(NamedTuple):
     """A row, or the news that it is gone.
 
@@ -148,7 +152,13 @@
                 self._log.record("history_lost", table=self._name)
                 pause_s = 0.0
             except StoreUnavailable as error:
-                self._lost(error)
+                self._lost(str(error))
+                self._version = None
+                pause_s = self._pause_after_failure_s()
+            except Exception as error:
+                # Whatever took the view down, a table that nobody follows is worse.
+                _log.exception("view not taken", extra={"table": self._name})
+                self._lost(repr(error))
                 self._version = None
                 pause_s = self._pause_after_failure_s()
             if pause_s:
@@ -175,10 +185,10 @@
             return 0.0
         return self._policy.backoff_s * (0.5 + self._rng.random())
 
-    def _lost(self, error: StoreUnavailable) -> None:
+    def _lost(self, reason: str) -> None:
         if self._lost_s is None:
             self._lost_s = self._clock.elapsed_s()
-            self._log.record("store_lost", table=self._name, reason=str(error))
+            self._log.record("store_lost", table=self._name, reason=reason)
 
     def _regained(self) -> None:
         self._failures = 0
--- a/tests/dispatch/test_pump.py
+++ b/tests/dispatch/test_pump.py
@@ -3,7 +3,9 @@
 import asyncio
 
 import pytest
+import uvloop
 
+from gentianhoist.clocks import SystemClock
 from gentianhoist.dispatch._pump import QueuePump
 from tests.instant_loop import InstantLoop
 
@@ -62,3 +64,19 @@
         queue = FullQueue(look_s=0.0)
         loop.run(_flood(_pump(queue, loop), changes=1, every_s=1.0))
         assert queue.looks >= 20
+
+
+class TestOnUvloop:
+    def test_wakes_while_a_look_is_due(self):
+        """Its handles differ from asyncio's where the time has come already."""
+        queue = FullQueue(look_s=0.0)
+
+        async def wake_twice() -> None:
+            pump = QueuePump(queue, SystemClock())  # type: ignore[arg-type]
+            pump.wake()
+            pump.wake()
+            await asyncio.sleep(0.01)
+            pump.close()
+
+        uvloop.run(wake_twice())
+        assert queue.looks >= 1
