--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -19,6 +19,7 @@
 from benchmarks._organisations import measure_organisations
 from benchmarks._overload import measure_overload
 from benchmarks._path import measure_path
+from benchmarks._platform import measure_platform
 from benchmarks._plot import plot_lengths
 from benchmarks._record import record_traces
 
@@ -31,6 +32,7 @@
     "minute": measure_minute,
     "overload": measure_overload,
     "control": measure_control,
+    "platform": measure_platform,
 }
 
 
--- a/benchmarks/_figures.py
+++ b/benchmarks/_figures.py
@@ -41,6 +41,11 @@
         self._seed = seed
         self._figures: list[Figure] = []
 
+    @property
+    def seed(self) -> int:
+        """Seed of the run."""
+        return self._seed
+
     @property
     def figures(self) -> list[Figure]:
         """What was found so far."""
