--- a/gentianhoist/cli/_daemons.py
+++ b/gentianhoist/cli/_daemons.py
@@ -77,6 +77,25 @@
         return ExitCode.OK
 
 
+@cappa.command(name="platform-entry")
+@dataclass(kw_only=True)
+class PlatformEntryCommand:
+    """Run an entry on the users' platform.
+
+    Stops gracefully on SIGTERM or SIGINT, and reads its settings again on SIGHUP.
+    """
+
+    settings: Annotated[
+        Path | None, cappa.Arg(help="By default the file that the environment names.")
+    ] = None
+
+    def __call__(self) -> int:
+        """Run until told to stop."""
+        from gentianhoist_platform.entry import main as run
+
+        return run(self.settings)
+
+
 @cappa.command(name="sidecar")
 @dataclass(kw_only=True)
 class SidecarCommand:
--- a/gentianhoist/cli/core.py
+++ b/gentianhoist/cli/core.py
@@ -10,7 +10,7 @@
 
 from gentianhoist import __version__
 from gentianhoist.calls import new_key
-from gentianhoist.cli._daemons import EntryCommand, SidecarCommand
+from gentianhoist.cli._daemons import EntryCommand, PlatformEntryCommand, SidecarCommand
 from gentianhoist.cli._exits import ExitCode
 from gentianhoist.cli._operators import (
     ConfigCommand,
@@ -67,6 +67,7 @@
     command: cappa.Subcommands[
         EntryCommand
         | SidecarCommand
+        | PlatformEntryCommand
         | StatusCommand
         | PresetCommand
         | ZoneCommand
--- a/gentianhoist/fleet/_directory.py
+++ b/gentianhoist/fleet/_directory.py
@@ -12,7 +12,6 @@
 # After an outage of the store, servers that are alive write their entries again
 # within this time.
 _RETURN_AFTER_OUTAGE_S = 1.5
-_OUTAGE_S = 1.5
 
 
 class ServerListing(NamedTuple):
@@ -58,6 +57,10 @@
         """Seconds since the directory was last heard of."""
         return float("inf") if self._heard_s is None else now_s - self._heard_s
 
+    def store_regained(self, now_s: float) -> None:
+        """The store answers again after an outage, in which entries may have expired."""
+        self._regained_s = now_s
+
     def replace(self, listings: Iterable[ServerListing], now_s: float) -> None:
         """Take the whole directory."""
         self._hear(now_s)
@@ -110,8 +113,6 @@
         return [server for server in ready if self.usable(server.id, now_s) is not None]
 
     def _hear(self, now_s: float) -> None:
-        if self.age_s(now_s) > _OUTAGE_S:
-            self._regained_s = now_s
         self._heard_s = now_s
         for id_, since_s in list(self._missing_since_s.items()):
             if now_s - since_s > _RETURN_AFTER_OUTAGE_S:
--- a/gentianhoist/fleet/_follower.py
+++ b/gentianhoist/fleet/_follower.py
@@ -105,6 +105,7 @@
         change: Takes changes.
         clock: The entry's clock.
         log: Told of the store's loss and return.
+        regained: Called when the store answers again, before what it says is taken.
     """
 
     def __init__(
@@ -116,6 +117,7 @@
         change: Callable[[list[FeedRow]], None],
         clock: Clock,
         log: DecisionLog,
+        regained: Callable[[], None] = lambda: None,
     ) -> None:
         self._name = name
         self._feed = feed
@@ -124,6 +126,7 @@
         self._change = change
         self._clock = clock
         self._log = log
+        self._on_regained = regained
         self._version: int | None = None
         self._read_s = float("-inf")
         self._lost_s: float | None = None
@@ -145,7 +148,7 @@
         while True:
             try:
                 await self._step()
-                self._regained()
+                self._failures = 0
                 pause_s = self._policy.pause_s
             except HistoryLost:
                 self._version = None
@@ -169,12 +172,14 @@
         now_s = self._clock.elapsed_s()
         if self._version is None or now_s - self._read_s > policy.reread_s:
             page = await self._feed.read(policy.answer_s)
+            self._regained()
             self._replace(page.rows)
             self._read_s = now_s
         else:
             page = await self._feed.changes(
                 self._version, policy.wait_s, policy.wait_s + policy.answer_s
             )
+            self._regained()
             self._change(page.rows)
         self._version = page.version
 
@@ -191,8 +196,8 @@
             self._log.record("store_lost", table=self._name, reason=reason)
 
     def _regained(self) -> None:
-        self._failures = 0
         if self._lost_s is not None:
+            self._on_regained()
             after_s = self._clock.elapsed_s() - self._lost_s
             self._lost_s = None
             self._log.record(
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -258,6 +258,7 @@
                 self._change_servers,
                 self._clock,
                 self._log,
+                lambda: self._state.directory.store_regained(self._clock.elapsed_s()),
             ),
         ]
 
--- /dev/null
+++ b/tests/fleet/test_routes.py
@@ -0,0 +1,88 @@
+"""Routes, keys, and a configuration that only goes forward."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gentianhoist.fleet import (
+    Organisation,
+    Repeatable,
+    Route,
+    RoutingConfiguration,
+    RoutingReplica,
+    WeightedGroup,
+)
+from gentianhoist.http1 import RequestLimits
+
+
+def _route(prefix: str, *, host: str = "a", anonymous: bool = False) -> Route:
+    groups = (WeightedGroup("g", 1.0),)
+    return Route(
+        prefix,
+        host,
+        prefix,
+        groups,
+        Repeatable.IDEMPOTENT,
+        False,
+        1.0,
+        0.1,
+        0.1,
+        2.0,
+        1,
+        1,
+        anonymous,
+    )
+
+
+def _configuration(version: int, *routes: Route) -> RoutingConfiguration:
+    return RoutingConfiguration(
+        version,
+        routes,
+        {},
+        {"key": Organisation("club")},
+        keys_required=True,
+        limits=RequestLimits(),
+    )
+
+
+class TestMatch:
+    def test_the_longest_prefix_of_the_host_wins(self):
+        configuration = _configuration(
+            1, _route("/a/"), _route("/a/b/"), _route("/a/b/", host="other")
+        )
+        assert configuration.match("a", "/a/b/c").prefix == "/a/b/"
+        assert configuration.match("a", "/a/x").prefix == "/a/"
+        assert configuration.match("a", "/b/") is None
+        assert configuration.match("none", "/a/") is None
+
+    def test_a_prefix_ends_at_a_slash(self):
+        assert _configuration(1, _route("/a/")).match("a", "/ab/") is None
+
+    @given(st.lists(st.sampled_from(["/", "/a/", "/a/b/", "/c/"])), st.text("/abc"))
+    def test_is_the_longest_that_begins_the_path(self, prefixes, path):
+        configuration = _configuration(1, *map(_route, prefixes))
+        fitting = [prefix for prefix in prefixes if path.startswith(prefix)]
+        found = configuration.match("a", path)
+        longest = max(fitting, key=len, default=None)
+        assert (found.prefix if found else None) == longest
+
+
+class TestKeys:
+    def test_admits_known_keys_and_anonymous_routes(self):
+        configuration = _configuration(1)
+        assert configuration.admits(_route("/a/"), "key")
+        assert not configuration.admits(_route("/a/"), "other")
+        assert not configuration.admits(_route("/a/"), "")
+        assert configuration.admits(_route("/a/", anonymous=True), "")
+
+
+class TestRoutingReplica:
+    @given(st.lists(st.integers(1, 50)))
+    def test_never_goes_back(self, versions):
+        """Reads and feeds cross: versions come in any order, and again."""
+        replica = RoutingReplica()
+        highest = 0
+        for version in versions:
+            taken = replica.take(_configuration(version))
+            assert taken == (version > highest)
+            highest = max(highest, version)
+            assert replica.version == highest
