Soak entries as real processes under faults from outside

Entries are processes of their own before stand-ins of the store and seven servers behind links that delay, reset, cut one way and silence; SIGTERM, SIGKILL, SIGSTOP and SIGHUP overlap with faults of servers, links and the store. Checked from what callers and servers see: at most once, true refusals, whole answers of the own request; and by hand, service after the faults.

--- a/gentianhoist/fleet/_directory.py
+++ b/gentianhoist/fleet/_directory.py
@@ -58,7 +58,7 @@
         return float("inf") if self._heard_s is None else now_s - self._heard_s
 
     def store_regained(self, now_s: float) -> None:
-        """The store answers again after an outage, in which entries may have expired."""
+        """The store answers after an outage, in which entries may have expired."""
         self._regained_s = now_s
 
     def replace(self, listings: Iterable[ServerListing], now_s: float) -> None:
--- /dev/null
+++ b/soak/_fleet.py
@@ -0,0 +1,175 @@
+"""Entries as processes of their own, before stand-ins behind faulty links."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+
+from gentianhoist_platform.standins import (
+    ServerStandin,
+    StoreStandin,
+    operator_configuration,
+)
+from soak._proxy import FaultyProxy
+
+__all__ = ["EntryProcess", "SoakFleet"]
+
+_ROOT = Path(__file__).parent.parent
+_ENGINES = 4
+_DESKS = 3
+_STOP_S = 5.0
+
+
+def _free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+class EntryProcess:
+    """One entry, started and ended by its own id.
+
+    Args:
+        number: Its number.
+        store_port: Port of its link to the store.
+        folder: For its settings and its log.
+    """
+
+    def __init__(self, number: int, store_port: int, folder: Path) -> None:
+        self.port = _free_port()
+        self.paused = False
+        self._log = folder / f"entry-{number}.log"
+        self._settings = folder / f"entry-{number}.conf"
+        self._process: asyncio.subprocess.Process | None = None
+        # Entries share one address here, so none finds another's socket.
+        peers = _free_port(socket.SOCK_DGRAM)
+        lines = {
+            "node_name": f"edge-{number}",
+            "ip": "127.0.0.1",
+            "zone": "z1",
+            "listen.frontend": f"127.0.0.1:{self.port}",
+            "listen.ready": f"127.0.0.1:{_free_port()}",
+            "internal_ports": f"{peers},{peers}",
+            "platform.address": f"127.0.0.1:{store_port}",
+            "bounds.grace_s": "4",
+            "metrics_port": str(_free_port()),
+        }
+        text = "".join(f"{name}={value}\n" for name, value in lines.items())
+        self._settings.write_text(text, encoding="utf-8")
+
+    @property
+    def address(self) -> str:
+        """Where callers reach it."""
+        return f"127.0.0.1:{self.port}"
+
+    @property
+    def running(self) -> bool:
+        """Whether the process is there."""
+        return self._process is not None and self._process.returncode is None
+
+    async def start(self) -> None:
+        """Start the process, unless it runs."""
+        if self.running:
+            return
+        path = os.pathsep.join([str(_ROOT), str(_ROOT / "platform")])
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "gentianhoist_platform",
+                "entry",
+                str(self._settings),
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"PYTHONPATH": path},
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send it a signal, if it runs."""
+        if self.running:
+            assert self._process is not None
+            self._process.send_signal(number)
+            self.paused = number is signal.SIGSTOP
+
+    async def close(self) -> None:
+        """End it, gracefully if it can."""
+        if not self.running:
+            return
+        assert self._process is not None
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGTERM)
+        try:
+            await asyncio.wait_for(self._process.wait(), _STOP_S)
+        except TimeoutError:
+            self.signal(signal.SIGKILL)
+            await self._process.wait()
+
+
+class SoakFleet:
+    """Everything that a soak runs.
+
+    Args:
+        entries: How many entries.
+        folder: For settings and logs.
+    """
+
+    def __init__(self, entries: int, folder: Path) -> None:
+        self.store = StoreStandin()
+        self.servers: list[ServerStandin] = []
+        self.links: list[FaultyProxy] = []
+        self.entries: list[EntryProcess] = []
+        self.version = 1
+        self._wanted = entries
+        self._folder = folder
+
+    async def start(self) -> None:
+        """Start the store, the servers behind links, and the entries."""
+        await self.store.start()
+        store_link = FaultyProxy(self.store.port)
+        await store_link.start()
+        self.links.append(store_link)
+        self.configure()
+        for number in range(_ENGINES + _DESKS):
+            await self._add_server(number)
+        for number in range(self._wanted):
+            entry = EntryProcess(number, store_link.port, self._folder)
+            self.entries.append(entry)
+            await entry.start()
+
+    def configure(self) -> None:
+        """Write a newer configuration."""
+        self.version += 3
+        self.store.put("op", "config", operator_configuration(self.version))
+
+    def runs(self, id_: str) -> int:
+        """How often servers ran a request."""
+        return sum(server.runs[id_] for server in self.servers)
+
+    async def close(self) -> None:
+        """End what was started, by its id."""
+        await asyncio.gather(*(entry.close() for entry in self.entries))
+        for link in self.links:
+            await link.close()
+        for server in self.servers:
+            await server.close()
+        await self.store.close()
+
+    async def _add_server(self, number: int) -> None:
+        service = "engines" if number < _ENGINES else "desk"
+        server = ServerStandin(
+            f"s{number}",
+            service,
+            f"z{number % 3}",
+            self.store,
+            streaming=service == "engines",
+        )
+        await server.start(register=False)
+        link = FaultyProxy(server.port)
+        await link.start()
+        server.register(f"127.0.0.1:{link.port}")
+        self.servers.append(server)
+        self.links.append(link)
--- /dev/null
+++ b/soak/core.py
@@ -0,0 +1,231 @@
+"""One soak: faults in series and overlapping, load all the while, promises checked."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections import Counter
+from pathlib import Path
+from typing import NamedTuple
+
+import aiohttp
+
+from gentianhoist_platform.standins import (
+    CallerStandin,
+    CallKind,
+    Outcome,
+    ServerFaults,
+    StoreFaults,
+)
+from soak._fleet import SoakFleet
+from soak._proxy import LinkFaults
+
+__all__ = ["Report", "soak"]
+
+_CALLERS = 12
+_PAUSE_S = 0.05
+_CALL_TIMEOUT_S = 2.0
+_RECOVER_S = 3.0
+_CHECK_CALLS = 40
+_RECOVERED_RATIO = 0.9
+_START_S = 2.0
+
+
+class Report(NamedTuple):
+    """What a soak saw.
+
+    Attributes:
+        seed: Its seed.
+        calls: Requests by kind and status.
+        faults: Faults in order, with their times.
+        broken: Promises that were broken.
+        unrecovered: What was not served after the faults, empty if enough was.
+    """
+
+    seed: int
+    calls: Counter[tuple[str, int]]
+    faults: list[str]
+    broken: list[str]
+    unrecovered: str
+
+
+class _Soak:
+    def __init__(self, seed: int, seconds: float, fleet: SoakFleet) -> None:
+        self._rng = random.Random(seed)
+        self._seconds = seconds
+        self._fleet = fleet
+        self._outcomes: list[Outcome] = []
+        self._numbers = 0
+        self.faults: list[str] = []
+
+    async def run(self) -> None:
+        """Load and faults, then calm, then the check that service is back."""
+        async with aiohttp.ClientSession() as session:
+            caller = CallerStandin(session, _CALL_TIMEOUT_S)
+            await asyncio.sleep(_START_S)
+            load = [asyncio.ensure_future(self._load(caller)) for _ in range(_CALLERS)]
+            faults = [asyncio.ensure_future(self._trouble()) for _ in range(2)]
+            await asyncio.sleep(self._seconds)
+            for task in faults:
+                task.cancel()
+            await asyncio.gather(*faults, return_exceptions=True)
+            await self._calm()
+            await asyncio.sleep(_RECOVER_S)
+            for task in load:
+                task.cancel()
+            await asyncio.gather(*load, return_exceptions=True)
+            self._last = [await self._call(caller) for _ in range(_CHECK_CALLS)]
+
+    def broken(self) -> list[str]:
+        """Promises that callers and servers saw broken."""
+        broken = []
+        for outcome in self._outcomes:
+            runs = self._fleet.runs(outcome.id)
+            if outcome.fault:
+                broken.append(f"{outcome.id}: {outcome.fault}")
+            if runs > 1 and not outcome.kind.idempotent:
+                broken.append(f"{outcome.id}: ran {runs} times")
+            if runs and outcome.says_not_run and not outcome.kind.idempotent:
+                broken.append(f"{outcome.id}: ran though {outcome.status} denies it")
+        return broken
+
+    def unrecovered(self) -> str:
+        """What was not served after the faults, empty if enough was."""
+        served = sum(outcome.whole for outcome in self._last)
+        if served >= _RECOVERED_RATIO * len(self._last):
+            return ""
+        return f"served {served} of {len(self._last)} after the faults"
+
+    def calls(self) -> Counter[tuple[str, int]]:
+        """Requests by kind and status."""
+        return Counter((item.kind.name, item.status) for item in self._outcomes)
+
+    async def _load(self, caller: CallerStandin) -> None:
+        while True:
+            await self._call(caller)
+            await asyncio.sleep(self._rng.random() * 2 * _PAUSE_S)
+
+    async def _call(self, caller: CallerStandin) -> Outcome:
+        self._numbers += 1
+        id_ = f"q{self._numbers}"
+        entry = self._rng.choice(self._fleet.entries)
+        kind = self._rng.choices(list(CallKind), (5, 1, 3, 3))[0]
+        try:
+            outcome = await caller.call(entry.address, id_, kind)
+        except asyncio.CancelledError:
+            # The caller leaves: it knows nothing of the answer.
+            self._outcomes.append(Outcome(id_, kind, 0, False, ""))
+            raise
+        self._outcomes.append(outcome)
+        return outcome
+
+    async def _trouble(self) -> None:
+        kinds = [
+            self._server_trouble,
+            self._link_trouble,
+            self._store_trouble,
+            self._signal_trouble,
+            self._configure,
+        ]
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.05, 0.4))
+            await self._rng.choice(kinds)()
+
+    async def _server_trouble(self) -> None:
+        server = self._rng.choice(self._fleet.servers)
+        fault = self._rng.choice([
+            "full",
+            "reset_before",
+            "reset_after",
+            "silent",
+            "cut_after_events",
+        ])
+        self._note(f"server {server.id} {fault}")
+        setattr(server.faults, fault, 2 if fault == "cut_after_events" else True)
+        await asyncio.sleep(self._rng.uniform(0.2, 1.2))
+        server.faults = ServerFaults()
+
+    async def _link_trouble(self) -> None:
+        link = self._rng.choice(self._fleet.links)
+        fault = self._rng.choice(["delay_s", "silent", "one_way", "refuse", "reset"])
+        self._note(f"link {self._fleet.links.index(link)} {fault}")
+        if fault == "reset":
+            link.reset()
+            return
+        setattr(link.faults, fault, 0.2 if fault == "delay_s" else True)
+        await asyncio.sleep(self._rng.uniform(0.2, 1.2))
+        link.faults = LinkFaults()
+
+    async def _store_trouble(self) -> None:
+        store = self._fleet.store
+        fault = self._rng.choice(["down", "silent", "delay_s", "lose", "forget"])
+        self._note(f"store {fault}")
+        match fault:
+            case "forget":
+                store.forget_history()
+            case "lose":
+                store.faults.lose_answers = 3
+            case "delay_s":
+                store.faults.delay_s = 0.25
+            case _:
+                setattr(store.faults, fault, True)
+        await asyncio.sleep(self._rng.uniform(0.2, 1.5))
+        store.faults = StoreFaults()
+
+    async def _signal_trouble(self) -> None:
+        entry = self._rng.choice(self._fleet.entries)
+        number = self._rng.choice([
+            signal.SIGTERM,
+            signal.SIGKILL,
+            signal.SIGSTOP,
+            signal.SIGHUP,
+        ])
+        self._note(f"entry {entry.address} {number.name}")
+        entry.signal(number)
+        await asyncio.sleep(self._rng.uniform(0.1, 1.5))
+        if entry.paused:
+            entry.signal(signal.SIGCONT)
+        await entry.start()
+
+    async def _configure(self) -> None:
+        self._note("configuration")
+        self._fleet.configure()
+
+    async def _calm(self) -> None:
+        self._note("calm")
+        for server in self._fleet.servers:
+            server.faults = ServerFaults()
+        for link in self._fleet.links:
+            link.faults = LinkFaults()
+        self._fleet.store.faults = StoreFaults()
+        for entry in self._fleet.entries:
+            if entry.paused:
+                entry.signal(signal.SIGCONT)
+            await entry.start()
+
+    def _note(self, fault: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        self.faults.append(f"{now_s:.3f} {fault}")
+
+
+async def soak(seed: int, seconds: float, folder: Path, entries: int = 3) -> Report:
+    """Run one soak.
+
+    Args:
+        seed: Decides the faults.
+        seconds: How long faults come.
+        folder: For settings and logs of the processes.
+        entries: How many entries.
+
+    Returns:
+        What it saw.
+    """
+    fleet = SoakFleet(entries, folder)
+    run = _Soak(seed, seconds, fleet)
+    await fleet.start()
+    try:
+        await run.run()
+        return Report(seed, run.calls(), run.faults, run.broken(), run.unrecovered())
+    finally:
+        await fleet.close()
--- a/tests/platform_adapter/conftest.py
+++ b/tests/platform_adapter/conftest.py
@@ -10,66 +10,11 @@
 from gentianhoist.telemetry import DecisionLog
 from gentianhoist_platform.entry import PlatformBoundary
 from gentianhoist_platform.settings import PlatformSettings, gateway_settings
-from gentianhoist_platform.standins import ServerStandin, StoreStandin
-
-ENGINE = {
-    "slots": 8,
-    "kv_capacity": 232_000,
-    "stride": 43,
-    "step_ms": 1.02,
-    "per_seq_ms": 0.0045,
-    "context_per_k": 0.0043,
-    "read_per_s": 206_000.0,
-    "pairs_per_m": 0.138,
-    "chunk": 2048,
-}
-
-
-def operator_configuration(version: int) -> dict:
-    """A configuration with one route of each kind."""
-    common = {"host": "a.example", "timeout_ms": 3000, "priority": 1, "max_attempts": 2}
-    return {
-        "version": version,
-        "routes": [
-            common
-            | {
-                "name": "brief",
-                "prefix": "/brief/",
-                "route_kind": "streaming",
-                "service": "engines",
-                "goal_ms": 300,
-                "resumable": True,
-                "gap_goal_ms": 250,
-            },
-            common
-            | {
-                "name": "press",
-                "prefix": "/press/",
-                "route_kind": "non_idempotent",
-                "service": "desk",
-                "goal_ms": 100,
-            },
-            common
-            | {
-                "name": "look",
-                "prefix": "/look/",
-                "route_kind": "idempotent",
-                "service": "desk",
-                "goal_ms": 100,
-            },
-        ],
-        "services": [
-            {"name": "engines", "max_conns": 100, "engine": ENGINE},
-            {"name": "desk", "max_conns": 100},
-        ],
-        "limits": {
-            "max_header_bytes": 16384,
-            "max_body_bytes": 100_000,
-            "header_timeout_ms": 1000,
-            "idle_timeout_ms": 5000,
-        },
-        "tenants": [{"name": "club", "api_keys": ["key-1"]}],
-    }
+from gentianhoist_platform.standins import (
+    ServerStandin,
+    StoreStandin,
+    operator_configuration,
+)
 
 
 @dataclass
@@ -125,10 +70,11 @@
         "internal_ports": f"{ports[2]},{ports[2]}",
         "platform.address": f"127.0.0.1:{store_port}",
         "bounds.grace_s": 1.5,
+        "metrics_port": ports[3],
     })
     log = DecisionLog({})
     gateway = Gateway(
-        gateway_settings(settings)._replace(metrics_port=ports[3]),
+        gateway_settings(settings),
         PlatformBoundary(settings),
         log,
     )
--- a/tests/platform_adapter/test_entry.py
+++ b/tests/platform_adapter/test_entry.py
@@ -6,7 +6,7 @@
 
 from gentianhoist.fleet import FeedRow
 from gentianhoist_platform.configuration import decode_operators
-from tests.platform_adapter.conftest import operator_configuration
+from gentianhoist_platform.standins import operator_configuration
 
 STREAM = b"".join(b"id: %d\ndata: x%d\n\n" % (i, i) for i in range(1, 6))
 
