Split settings and the engine runner; start soaked processes again as the platform does

Types and model of settings now stand in _base.py, periods, limits and routing in _tuning.py; the sizing of work in sidecar/_sizing.py, with its fields named.

A supervisor starts ended processes again.

--- /dev/null
+++ b/gentianhoist/settings/_base.py
@@ -0,0 +1,29 @@
+"""Types and the model that all settings share."""
+
+from __future__ import annotations
+
+import ipaddress
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+from pydantic.functional_validators import AfterValidator
+
+__all__ = ["IpNumber", "Name", "Port", "PositiveSeconds", "Settings", "Sha256Hex"]
+
+
+def _ip_number(value: str) -> str:
+    ipaddress.ip_address(value)
+    return value
+
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
+IpNumber = Annotated[str, AfterValidator(_ip_number)]
+Port = Annotated[int, Field(ge=1, le=65535)]
+PositiveSeconds = Annotated[float, Field(gt=0)]
+Sha256Hex = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+
+
+class Settings(BaseModel):
+    """Settings that refuse items that they don't know."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
--- a/gentianhoist/settings/core.py
+++ b/gentianhoist/settings/core.py
@@ -5,12 +5,24 @@
 
 from __future__ import annotations
 
-import ipaddress
 from enum import StrEnum
-from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, model_validator
-from pydantic.functional_validators import AfterValidator
+from pydantic import Field, model_validator
+
+from gentianhoist.settings._base import (
+    IpNumber,
+    Name,
+    Port,
+    PositiveSeconds,
+    Settings,
+    Sha256Hex,
+)
+from gentianhoist.settings._tuning import (
+    LimitSettings,
+    RoutingPolicyName,
+    RoutingSettings,
+    TimingSettings,
+)
 
 __all__ = [
     "AddressSettings",
@@ -35,18 +47,6 @@
 ]
 
 
-def _ip_number(value: str) -> str:
-    ipaddress.ip_address(value)
-    return value
-
-
-Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
-IpNumber = Annotated[str, AfterValidator(_ip_number)]
-Port = Annotated[int, Field(ge=1, le=65535)]
-PositiveSeconds = Annotated[float, Field(gt=0)]
-Sha256Hex = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
-
-
 class Role(StrEnum):
     """What a process of gentianhoist does."""
 
@@ -61,18 +61,14 @@
     SERVICE = "service"
 
 
-class _Settings(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
-class AddressSettings(_Settings):
+class AddressSettings(Settings):
     """Where a process listens."""
 
     host: IpNumber = Field(description="IP number.")
     port: Port = Field(description="TCP port.")
 
 
-class MetricsSettings(_Settings):
+class MetricsSettings(Settings):
     """Where metrics go."""
 
     host: str = Field("", description="IP number of the statsd daemon, empty for none.")
@@ -80,7 +76,7 @@
     prefix: str = Field("gentianhoist", description="Put before every metric's name.")
 
 
-class PlatformSettings(_Settings):
+class PlatformSettings(Settings):
     """The platform's services."""
 
     url: str = Field(
@@ -93,7 +89,7 @@
     )
 
 
-class ModelSettings(_Settings):
+class ModelSettings(Settings):
     """One model that callers can name."""
 
     name: Name = Field(description="Name that callers use.")
@@ -102,7 +98,7 @@
     )
 
 
-class OperationSettings(_Settings):
+class OperationSettings(Settings):
     """One operation of a plain service."""
 
     name: Name = Field(description="Name that callers use.")
@@ -111,7 +107,7 @@
     )
 
 
-class GroupSettings(_Settings):
+class GroupSettings(Settings):
     """Backend servers of one kind."""
 
     name: Name = Field(description="Name of the group.")
@@ -149,7 +145,7 @@
         return self
 
 
-class OrganisationSettings(_Settings):
+class OrganisationSettings(Settings):
     """One organisation that calls."""
 
     name: Name = Field(description="Name of the organisation.")
@@ -159,7 +155,7 @@
     weight: float = Field(1.0, gt=0, description="Weight of its share of engine time.")
 
 
-class OperatorSettings(_Settings):
+class OperatorSettings(Settings):
     """One person or program that may send operators' commands."""
 
     name: Name = Field(description="Name that stands in the configuration's history.")
@@ -168,7 +164,7 @@
     )
 
 
-class PresetSettings(_Settings):
+class PresetSettings(Settings):
     """What a minute may hold."""
 
     name: Name = Field(description="Name of the preset.")
@@ -181,7 +177,7 @@
     )
 
 
-class InstanceSettings(_Settings):
+class InstanceSettings(Settings):
     """One instance known beforehand, to start from before the list is read."""
 
     name: Name = Field(description="Name of the instance.")
@@ -192,117 +188,7 @@
     group: str = Field("", description="A sidecar's backend server group.")
 
 
-class TimingSettings(_Settings):
-    """Periods and bounds that all processes share."""
-
-    heartbeat_s: PositiveSeconds = Field(
-        1.0, description="Seconds between two heartbeats to a sidecar."
-    )
-    entry_heartbeat_s: PositiveSeconds = Field(
-        0.5, description="Seconds between two heartbeats to another entry."
-    )
-    stream_beat_s: PositiveSeconds = Field(
-        0.25, description="Seconds after which a stream with nothing to say says so."
-    )
-    silence_s: PositiveSeconds = Field(
-        1.0, description="Seconds of silence after which a connection is replaced."
-    )
-    suspicion_s: PositiveSeconds = Field(
-        2.5, description="Seconds without an answer until a member is suspected."
-    )
-    instance_list_s: PositiveSeconds = Field(
-        2.0, description="Seconds between two readings of the instance list."
-    )
-    head_read_s: PositiveSeconds = Field(
-        0.6, description="Seconds between two readings of the configuration's head."
-    )
-    switch_lead_s: PositiveSeconds = Field(
-        4.0, description="Seconds from acceptance until a preset switch takes force."
-    )
-    confirmation_s: PositiveSeconds = Field(
-        1.5, description="Seconds that a confirmation of the configuration lasts."
-    )
-    clock_skew_s: float = Field(
-        0.25, ge=0, description="Bound on the difference of two machines' wall clocks."
-    )
-    share_lease_s: PositiveSeconds = Field(
-        900.0, description="Seconds that an entry's share of the allowance lasts."
-    )
-    loan_s: PositiveSeconds = Field(
-        1.0, description="Seconds within which a borrowed allowance is spent."
-    )
-    coalesce_s: float = Field(
-        0.03,
-        ge=0,
-        description="Seconds for which a sidecar gathers tokens into one message.",
-    )
-    resume_lease_s: PositiveSeconds = Field(
-        8.0, description="Seconds that a stream without its entry is kept."
-    )
-    outcome_retention_s: PositiveSeconds = Field(
-        86_400.0, description="Seconds that a call's outcome is kept."
-    )
-
-
-class LimitSettings(_Settings):
-    """Bounds on callers' input and on our own work."""
-
-    body_bytes: int = Field(
-        16 * 1024 * 1024, ge=1024, description="Largest body of a request."
-    )
-    default_deadline_s: PositiveSeconds = Field(
-        120.0, description="Deadline of a request that names none."
-    )
-    max_deadline_s: PositiveSeconds = Field(
-        600.0, description="Longest deadline that a request may name."
-    )
-    default_max_tokens: int = Field(
-        128, ge=1, description="Tokens of an answer whose request names no limit."
-    )
-    attempts: int = Field(4, ge=1, description="Backend servers asked for one request.")
-    retry_ratio: float = Field(
-        0.1, ge=0, le=1, description="Retries after failures, as a part of requests."
-    )
-    subset_size: int = Field(
-        24, ge=1, description="Backend servers of a group that one entry talks to."
-    )
-    short_tokens: int = Field(
-        8_000, ge=1, description="Uncached prompt tokens up to which work is short."
-    )
-    long_tokens: int = Field(
-        32_000, ge=1, description="Uncached prompt tokens from which work is long."
-    )
-    frame_buffer_bytes: int = Field(
-        16 * 1024 * 1024, ge=1024, description="Unacknowledged text a sidecar keeps."
-    )
-
-
-class RoutingPolicyName(StrEnum):
-    """How entries choose backend servers."""
-
-    EXPECTED_FIRST_TOKEN = "expected_first_token"
-    ROUND_ROBIN = "round_robin"
-    LEAST_OUTSTANDING = "least_outstanding"
-
-
-class RoutingSettings(_Settings):
-    """How work is placed; the other policies are there to compare with."""
-
-    policy: RoutingPolicyName = Field(
-        RoutingPolicyName.EXPECTED_FIRST_TOKEN,
-        description="How entries choose backend servers.",
-    )
-    lanes: bool = Field(
-        False,
-        description="Whether engines are kept for long work; worth it where engines"
-        " don't honour priorities.",
-    )
-    classes: bool = Field(
-        True, description="Whether sidecars order work by its length class."
-    )
-
-
-class DeploymentSettings(_Settings):
+class DeploymentSettings(Settings):
     """What all processes of one user's deployment share."""
 
     name: Name = Field(description="Name of the deployment.")
@@ -392,7 +278,7 @@
         raise KeyError(name)
 
 
-class _ProcessSettings(_Settings):
+class _ProcessSettings(Settings):
     instance: Name = Field(description="Name of this process's instance.")
     availability_zone: Name = Field(description="Availability zone of the instance.")
     deployment: str = Field(
--- a/gentianhoist/sidecar/_engine_runner.py
+++ b/gentianhoist/sidecar/_engine_runner.py
@@ -19,19 +19,17 @@
     EngineGate,
     Refuse,
     Start,
-    Work,
     WorkClass,
-    classify,
 )
 from gentianhoist.clocks import Clock
 from gentianhoist.events import EventKind, EventRing
 from gentianhoist.exceptions import ErrorKind, NotRun
-from gentianhoist.routing import PrefixMark
 from gentianhoist.settings import LimitSettings, TimingSettings
 from gentianhoist.sidecar._attempt import Attempt, AttemptState, refused, stream_id
 from gentianhoist.sidecar._cache_feed import CacheFeed
 from gentianhoist.sidecar._frames import read_frames
 from gentianhoist.sidecar._holds import HoldKeeper
+from gentianhoist.sidecar._sizing import WorkSizing, prefix_marks_of
 from gentianhoist.sidecar._strays import StrayLedger
 from gentianhoist.store import HttpPlatform
 from gentianhoist.wire import (
@@ -82,6 +80,7 @@
         self._cache = CacheFeed(self._client, clock)
         self._strays = StrayLedger(self._client, gate, events, self._owned)
         self._holds = HoldKeeper(gate, platform, clock, self._strays.add)
+        self._sizing = WorkSizing(limits, self._cache, self._holds)
 
     @property
     def client(self) -> EngineClient:
@@ -164,7 +163,7 @@
                 request, ErrorKind.INVALID_REQUEST, "attempt exists", NotRun.UNKNOWN
             )
         now_s = self._clock.elapsed_s()
-        work = self._work(request, now_s)
+        work = self._sizing.work(request, now_s)
         decision = self._gate.offer(work, now_s)
         if isinstance(decision, Refuse):
             self._events.record(
@@ -205,29 +204,6 @@
         """Nobody wants the answer any more."""
         self._cancel(attempt, "cancelled by the caller")
 
-    def _work(self, request: RunRequest, now_s: float) -> Work:
-        marks = _marks(request)
-        generated = request.offset
-        prompt_tokens = request.prompt_tokens + generated
-        uncached = max(1, prompt_tokens - self._cache.cached_tokens(marks))
-        work_class = classify(
-            uncached, self._limits.short_tokens, self._limits.long_tokens
-        )
-        # The memory of work on a reservation is counted there.
-        reserved = self._holds.stands(request.hold)
-        return Work(
-            stream_id(request),
-            request.organisation,
-            request.weight,
-            0 if reserved else prompt_tokens,
-            uncached,
-            0 if reserved else request.max_tokens - generated,
-            work_class,
-            now_s,
-            now_s + request.deadline_left_s,
-            request.priority,
-        )
-
     def _launch(self, attempt: Attempt) -> None:
         attempt.state = AttemptState.RUNNING
         attempt.task = asyncio.create_task(self._run(attempt))
@@ -244,7 +220,7 @@
             request.max_tokens,
             request.offset,
             self._gate.priority(attempt.work, self._clock.elapsed_s()),
-            tuple((mark.name, mark.tokens) for mark in _marks(request)),
+            tuple((mark.name, mark.tokens) for mark in prefix_marks_of(request)),
             request.generated,
             request.sampling,
             request.keep,
@@ -398,7 +374,3 @@
         self._holds.lost()
         self._cache.clear()
         self._events.record(EventKind.BACKEND_COLD, f"boot {boot_id[:8]}")
-
-
-def _marks(request: RunRequest) -> tuple[PrefixMark, ...]:
-    return tuple(PrefixMark(name, tokens) for name, tokens in request.prefix_marks)
--- /dev/null
+++ b/gentianhoist/sidecar/_sizing.py
@@ -0,0 +1,63 @@
+"""What a request asks of the engine, for the gate that decides on it."""
+
+from __future__ import annotations
+
+from gentianhoist.capacity import Work, classify
+from gentianhoist.routing import PrefixMark
+from gentianhoist.settings import LimitSettings
+from gentianhoist.sidecar._attempt import stream_id
+from gentianhoist.sidecar._cache_feed import CacheFeed
+from gentianhoist.sidecar._holds import HoldKeeper
+from gentianhoist.wire import RunRequest
+
+__all__ = ["WorkSizing", "prefix_marks_of"]
+
+
+class WorkSizing:
+    """Sizes requests by what the engine has cached and reserved.
+
+    Args:
+        limits: Bounds of the length classes.
+        cache: Prefixes that the engine has.
+        holds: Reservations that stand.
+    """
+
+    def __init__(
+        self, limits: LimitSettings, cache: CacheFeed, holds: HoldKeeper
+    ) -> None:
+        self._limits = limits
+        self._cache = cache
+        self._holds = holds
+
+    def work(self, request: RunRequest, now_s: float) -> Work:
+        """The work of a request.
+
+        Args:
+            request: The request; one that resumes counts what it has generated.
+            now_s: The time on the sidecar's clock.
+        """
+        generated = request.offset
+        prompt_tokens = request.prompt_tokens + generated
+        cached = self._cache.cached_tokens(prefix_marks_of(request))
+        uncached = max(1, prompt_tokens - cached)
+        # The memory of work on a reservation is counted there.
+        reserved = self._holds.stands(request.hold)
+        return Work(
+            request_id=stream_id(request),
+            organisation=request.organisation,
+            weight=request.weight,
+            prompt_tokens=0 if reserved else prompt_tokens,
+            uncached_tokens=uncached,
+            answer_tokens=0 if reserved else request.max_tokens - generated,
+            work_class=classify(
+                uncached, self._limits.short_tokens, self._limits.long_tokens
+            ),
+            arrived_s=now_s,
+            deadline_s=now_s + request.deadline_left_s,
+            priority=request.priority,
+        )
+
+
+def prefix_marks_of(request: RunRequest) -> tuple[PrefixMark, ...]:
+    """The prefixes that a request names."""
+    return tuple(PrefixMark(name, tokens) for name, tokens in request.prefix_marks)
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -22,6 +22,7 @@
 _ENGINES = 4
 _DESKS = 3
 _STOP_S = 5.0
+_RESTART_S = 0.3
 
 
 def _free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
@@ -123,6 +124,7 @@
         self.links: list[FaultyProxy] = []
         self.entries: list[EntryProcess] = []
         self.version = 1
+        self._supervisor: asyncio.Task[None] | None = None
         self._wanted = entries
         self._folder = folder
 
@@ -139,6 +141,14 @@
             entry = EntryProcess(number, store_link.port, self._folder)
             self.entries.append(entry)
             await entry.start()
+        self._supervisor = asyncio.ensure_future(self._supervise())
+
+    async def _supervise(self) -> None:
+        """Start every process again a short time after its end."""
+        while True:
+            await asyncio.sleep(_RESTART_S)
+            for entry in self.entries:
+                await entry.start()
 
     def configure(self) -> None:
         """Write a newer configuration."""
@@ -151,6 +161,9 @@
 
     async def close(self) -> None:
         """End what was started, by its id."""
+        if self._supervisor is not None:
+            self._supervisor.cancel()
+            await asyncio.gather(self._supervisor, return_exceptions=True)
         await asyncio.gather(*(entry.close() for entry in self.entries))
         for link in self.links:
             await link.close()
--- a/soak/core.py
+++ b/soak/core.py
@@ -26,7 +26,8 @@
 _CALLERS = 12
 _PAUSE_S = 0.05
 _CALL_TIMEOUT_S = 2.0
-_RECOVER_S = 3.0
+# A process told to stop just before the calm serves for seconds, and starts again.
+_RECOVER_S = 7.0
 _CHECK_CALLS = 40
 _RECOVERED_RATIO = 0.9
 _START_S = 2.0
@@ -186,7 +187,6 @@
         await asyncio.sleep(self._rng.uniform(0.1, 1.5))
         if entry.paused:
             entry.signal(signal.SIGCONT)
-        await entry.start()
 
     async def _configure(self) -> None:
         self._note("configuration")
@@ -202,7 +202,6 @@
         for entry in self._fleet.entries:
             if entry.paused:
                 entry.signal(signal.SIGCONT)
-            await entry.start()
 
     def _note(self, fault: str) -> None:
         now_s = asyncio.get_running_loop().time()
