Take nothing new late in the grace of a stop

Change: after 3.2 s, in which the balancer notices, the entry listens no more and closes idle connections; what is in progress is finished.

--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -42,7 +42,6 @@
 _TICK_S = 0.25
 # How long requests are held at the start until the store has been read.
 _START_HOLD_S = 0.4
-_MIN_LISTEN_S = 3.2
 _END_MARGIN_S = 0.6
 _POLL_S = 0.05
 
@@ -63,6 +62,8 @@
         operators: How closely the operators' table is followed.
         servers: How closely the directory is followed.
         dispatch: Bounds of requests.
+        listen_on_s: Time after a request to stop in which callers that still come are
+            served: the balancer needs it to notice.
     """
 
     name: str
@@ -77,6 +78,7 @@
     operators: FollowPolicy
     servers: FollowPolicy
     dispatch: DispatchPolicy
+    listen_on_s: float = 3.2
 
 
 class OperatorView(NamedTuple):
@@ -213,8 +215,12 @@
         self._callers.leave()
         self._log.record("stopping", in_progress=self._callers.busy)
         last_s = began_s + self._settings.grace_s - _END_MARGIN_S
-        listen_s = min(last_s, began_s + _MIN_LISTEN_S)
-        while loop.time() < listen_s or (self._callers.busy and loop.time() < last_s):
+        listen_s = min(last_s, began_s + self._settings.listen_on_s)
+        while loop.time() < listen_s:
+            await asyncio.sleep(_POLL_S)
+        # What came later could not end within the grace.
+        self._callers.stop_listening()
+        while self._callers.busy and loop.time() < last_s:
             await asyncio.sleep(_POLL_S)
 
     async def close(self) -> None:
--- a/gentianhoist/http1/_server.py
+++ b/gentianhoist/http1/_server.py
@@ -399,6 +399,15 @@
         """Go on serving, but close each connection after its next answer."""
         self.leaving = True
 
+    def stop_listening(self) -> None:
+        """Take no new connection, and close those on which nothing is in progress."""
+        self.leave()
+        if self._listener is not None:
+            self._listener.close()
+        for connection in list(self.connections):
+            if connection.idle:
+                connection.close()
+
     async def close(self) -> None:
         """Stop listening and end every connection."""
         if self._listener is not None:
--- a/tests/platform_adapter/test_entry.py
+++ b/tests/platform_adapter/test_entry.py
@@ -2,7 +2,9 @@
 
 import asyncio
 
+import aiohttp
 import msgspec
+import pytest
 
 from gentianhoist.fleet import FeedRow
 from gentianhoist_platform.configuration import decode_operators
@@ -191,3 +193,18 @@
         assert status == 200
         assert headers["Connection"] == "close"
         await drain
+
+    async def test_nothing_new_is_taken_late_in_the_grace(self, deployment):
+        """A request that could not end any more must find no listener."""
+        gateway = deployment.gateway
+        gateway._settings = gateway._settings._replace(grace_s=8.0, listen_on_s=0.2)
+        for server in deployment.servers.values():
+            server._work_s = 1.2
+        task = asyncio.ensure_future(deployment.ask("/press/", "g3"))
+        await deployment.until(lambda: _runs(deployment, "g3"))
+        drain = asyncio.ensure_future(gateway.drain())
+        await asyncio.sleep(0.5)
+        with pytest.raises(aiohttp.ClientConnectionError):
+            await deployment.ask("/look/", "g4")
+        assert (await task)[0] == 200
+        await drain
