Let an entry's part of fleet-wide bounds follow the number of entries

Cause: each entry kept to an eighth of what all may do together.

Change: the part is for 1.25 times the entries known from the registry and from datagrams, 8 at the least. A part of less than one start a second is one in a longer time, with phases that differ.

--- a/gentianhoist/dispatch/_state.py
+++ b/gentianhoist/dispatch/_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from typing import NamedTuple
 
@@ -32,8 +33,9 @@
     """Bounds of an entry's requests.
 
     Attributes:
-        entries: The largest number of entries that may be there; each keeps to its part
-            of what all may do together.
+        entries: The number of entries that each reckons with at the least; it keeps to
+            its part of what all may do together.
+        entries_ratio: Entries reckoned with for each one known, as some may just start.
         retry_ratio: Repeats allowed for each request.
         retry_reserve: Repeats that all entries together may save up.
         cold_reserve_ratio: Part of what a cold server bears that is used.
@@ -52,6 +54,7 @@
     """
 
     entries: int = 8
+    entries_ratio: float = 1.25
     retry_ratio: float = 0.18
     retry_reserve: float = 80.0
     cold_reserve_ratio: float = 0.9
@@ -81,20 +84,39 @@
         self.directory = Directory()
         self.ledger = CommitmentLedger()
         self.evidence = EvidenceBook()
-        self.cold = ColdStartBudget()
-        self.queue = PlacementQueue()
         self.rng = random.Random(seed)
+        self.cold = ColdStartBudget(phase=self.rng.random())
+        self.queue = PlacementQueue()
         self.outstanding: dict[str, int] = {}
         self.live_entries = 1
+        self._entries = policy.entries
         self._orders: dict[str, float] = {}
         self._pools: dict[tuple[str, str, int], ConnectionPool] = {}
         self._budgets: dict[str, RetryBudget] = {}
 
+    def entries_known(self, count: int) -> None:
+        """Take the number of entries, this one included, that are known of.
+
+        An entry's parts shrink at once when others appear. They grow back when the
+        registry no longer has those.
+        """
+        ratio = self.policy.entries_ratio
+        entries = max(self.policy.entries, math.ceil(ratio * count))
+        if entries == self._entries:
+            return
+        self._entries = entries
+        for budget in self._budgets.values():
+            budget.resize(self._retry_reserve)
+
+    @property
+    def _retry_reserve(self) -> float:
+        return self.policy.retry_reserve / self._entries
+
     def pool(self, server: BackendServer, group: ServerGroup) -> ConnectionPool:
         """Connections to one incarnation of a server."""
         pool = self._pools.get(server.incarnation)
         if pool is None:
-            limit = max(2, group.max_connections // self.policy.entries)
+            limit = max(2, group.max_connections // self._entries)
             limits = PoolLimits(
                 open_connections=limit,
                 connect_timeout_s=self.policy.connect_timeout_s,
@@ -123,8 +145,7 @@
         """The entry's part of the repeats to a group."""
         budget = self._budgets.get(group)
         if budget is None:
-            reserve = self.policy.retry_reserve / self.policy.entries
-            budget = RetryBudget(self.policy.retry_ratio, reserve)
+            budget = RetryBudget(self.policy.retry_ratio, self._retry_reserve)
             self._budgets[group] = budget
         return budget
 
@@ -135,7 +156,7 @@
         if not group.cold_requests_per_s or now_s >= server.cold_until_s:
             return True
         rate = group.cold_requests_per_s * self.policy.cold_reserve_ratio
-        return self.cold.allows(server.id, rate, self.policy.entries, now_s)
+        return self.cold.allows(server.id, rate, self._entries, now_s)
 
     def note_sent(self, server: BackendServer, now_s: float) -> None:
         """Take note of a request that is being sent."""
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -362,6 +362,7 @@
             self._state.ledger.expire(now_s)
             self._peers.tick(now_s)
             self._state.live_entries = 1 + self._peers.live
+            self._state.entries_known(1 + len(self._peers.peers))
             self._metrics.beliefs(
                 self._state.replica.version,
                 len(self._state.directory.servers),
--- a/gentianhoist/placement/_slow_start.py
+++ b/gentianhoist/placement/_slow_start.py
@@ -14,10 +14,16 @@
 
     The entries don't talk about it: each keeps to its part for the largest number of
     entries that may be there, so that the bound holds whatever they hear.
+
+    Args:
+        phase: A number from 0 to 1 that differs between entries, so that parts of less
+            than one request a second don't all begin in the same one.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, phase: float = 0.0) -> None:
+        self._phase = phase
         self._sent: dict[str, deque[float]] = {}
+        self._first_asked_s: dict[str, float] = {}
 
     def allows(
         self, server_id: str, requests_per_s: float, entries: int, now_s: float
@@ -30,12 +36,16 @@
             entries: The largest number of entries that may be there.
             now_s: The time on the entry's clock.
         """
+        part = requests_per_s * _WINDOW_S / entries
         sent = self._sent.get(server_id)
         if sent is None:
-            return True
-        while sent and sent[0] <= now_s - _WINDOW_S:
+            asked_s = self._first_asked_s.setdefault(server_id, now_s)
+            return part >= 1.0 or now_s - asked_s >= self._phase * _WINDOW_S / part
+        # A part of less than one request is one in a longer time.
+        window_s = _WINDOW_S if part >= 1.0 else _WINDOW_S / part
+        while sent and sent[0] <= now_s - window_s:
             sent.popleft()
-        return len(sent) < max(1, int(requests_per_s / entries))
+        return len(sent) < max(1, int(part))
 
     def sent(self, server_id: str, now_s: float) -> None:
         """Take note of a request sent to a cold server."""
@@ -43,5 +53,6 @@
 
     def keep_only(self, server_ids: set[str]) -> None:
         """Forget servers that are gone."""
-        for gone in self._sent.keys() - server_ids:
-            del self._sent[gone]
+        for known in (self._sent, self._first_asked_s):
+            for gone in known.keys() - server_ids:
+                del known[gone]
--- a/gentianhoist/routing/_retry_budget.py
+++ b/gentianhoist/routing/_retry_budget.py
@@ -23,6 +23,18 @@
         self._reserve = reserve
         self._balance = reserve
 
+    def resize(self, reserve: float) -> None:
+        """Change how many retries may be saved up.
+
+        Example:
+            >>> budget = RetryBudget(0.1)
+            >>> budget.resize(2.0)
+            >>> sum(budget.spend() for _ in range(20))
+            2
+        """
+        self._reserve = reserve
+        self._balance = min(self._balance, reserve)
+
     def earn(self) -> None:
         """Take note of a request."""
         self._balance = min(self._reserve, self._balance + self._ratio)
