--- a/gentianhoist/dispatch/_sending.py
+++ b/gentianhoist/dispatch/_sending.py
@@ -10,6 +10,7 @@
 from gentianhoist.dispatch._request import Request
 from gentianhoist.exceptions import ErrorKind, HoistError
 from gentianhoist.fleet import BackendServer, ServerGroup
+from gentianhoist.http1 import Responder
 
 if TYPE_CHECKING:
     from gentianhoist.dispatch.core import Dispatcher
@@ -28,9 +29,13 @@
     Args:
         dispatcher: What decides, and what all requests share.
         request: The request.
+        responder: Where its answer goes.
     """
 
-    def __init__(self, dispatcher: Dispatcher, request: Request) -> None:
+    def __init__(
+        self, dispatcher: Dispatcher, request: Request, responder: Responder
+    ) -> None:
+        self._responder = responder
         self._dispatcher = dispatcher
         self._state = dispatcher.state
         self._request = request
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -38,8 +38,7 @@
     def __init__(
         self, dispatcher: Dispatcher, request: Request, responder: Responder
     ) -> None:
-        super().__init__(dispatcher, request)
-        self._responder = responder
+        super().__init__(dispatcher, request, responder)
         self._placer = Placer(dispatcher, request, self)
         self._last_id = request.call.resume_after
         self._passed_on = 0
--- a/gentianhoist/dispatch/_whole.py
+++ b/gentianhoist/dispatch/_whole.py
@@ -6,13 +6,11 @@
 
 from gentianhoist.dispatch._attempt import AttemptFailed, Execution
 from gentianhoist.dispatch._ports import SendOptions, ServerAnswer
-from gentianhoist.dispatch._request import Request
 from gentianhoist.dispatch._sending import Sender
 from gentianhoist.fleet import BackendServer
-from gentianhoist.http1 import Responder
 
 if TYPE_CHECKING:
-    from gentianhoist.dispatch.core import Dispatcher
+    pass
 
 __all__ = ["WholeCall"]
 
@@ -25,19 +23,7 @@
 
 
 class WholeCall(Sender):
-    """A call to a plain service.
-
-    Args:
-        dispatcher: What decides, and what all requests share.
-        request: The request.
-        responder: Where its answer goes.
-    """
-
-    def __init__(
-        self, dispatcher: Dispatcher, request: Request, responder: Responder
-    ) -> None:
-        super().__init__(dispatcher, request)
-        self._responder = responder
+    """A call to a plain service."""
 
     async def run(self) -> str:
         """Answer the call; returns the outcome for the metrics.
--- a/gentianhoist/fleet/_follower.py
+++ b/gentianhoist/fleet/_follower.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple, Protocol
 
 from gentianhoist.clocks import Clock
+from gentianhoist.fleet._task import OwnedTask
 from gentianhoist.store import StoreUnavailable
 from gentianhoist.telemetry import DecisionLog
 
@@ -94,7 +95,7 @@
     backoff_s: float = 0.3
 
 
-class TableFollower:
+class TableFollower(OwnedTask):
     """A task that keeps a view of one table.
 
     Args:
@@ -132,17 +133,6 @@
         self._lost_s: float | None = None
         self._failures = 0
         self._rng = random.Random()
-        self._task: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Start to follow."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop following."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
         while True:
--- a/gentianhoist/fleet/_registry.py
+++ b/gentianhoist/fleet/_registry.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
+from gentianhoist.fleet._task import OwnedTask
 from gentianhoist.store import StoreUnavailable
 from gentianhoist.telemetry import DecisionLog
 
@@ -36,7 +37,7 @@
         ...
 
 
-class EntryRegistry:
+class EntryRegistry(OwnedTask):
     """A task that renews this entry's row and reads the others'.
 
     Args:
@@ -57,17 +58,6 @@
         self._host = host
         self._take = take
         self._log = log
-        self._task: asyncio.Task[None] | None = None
-
-    def start(self) -> None:
-        """Start to renew."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
-
-    async def close(self) -> None:
-        """Stop renewing."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
         first = True
--- a/gentianhoist/http1/__init__.py
+++ b/gentianhoist/http1/__init__.py
@@ -2,7 +2,8 @@
 
 from gentianhoist.http1._client import ClientConnection, ConnectionFailed, ResponseHead
 from gentianhoist.http1._pool import ConnectionPool, Lease, PoolLimits
-from gentianhoist.http1._server import CallerRequest, HttpServer, Responder
+from gentianhoist.http1._responder import CallerRequest, Responder
+from gentianhoist.http1._server import HttpServer
 from gentianhoist.http1.core import Headers, RequestLimits, encode_request, header
 
 __all__ = [
