--- a/gentianhoist/placement/_choice.py
+++ b/gentianhoist/placement/_choice.py
@@ -44,6 +44,7 @@
             when engines begin to be scarce.
         free_backlog_s: Reading up to which an engine counts as free of it.
         patience_s: Slack below which a late request doesn't wait for quiet any more.
+        last_call_s: Slack below which no request waits by choice.
     """
 
     late_loss_ratio: float = 0.75
@@ -58,6 +59,7 @@
     scarce_from_ratio: float = 0.45
     free_backlog_s: float = 0.15
     patience_s: float = 4.0
+    last_call_s: float = 0.5
 
 
 DEFAULT_POLICY = PlacementPolicy()
@@ -204,7 +206,7 @@
         True while waiting may make a prompt answer of a late one, or spares others more
         than it costs the request.
     """
-    if slack_s <= 0.0:
+    if slack_s <= policy.last_call_s:
         return False
     prompt_value = demand.value * policy.late_loss_ratio
     alone_s = policy.network_s + placement.part_read_s
--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -166,7 +166,7 @@
     def test_it_goes_at_last_rather_than_fail(self):
         fleet = self._burst(2)
         placement = fleet.choose(HUGE)
-        assert not worth_waiting(HUGE, placement, slack_s=0.0)
+        assert not worth_waiting(HUGE, placement, slack_s=0.3)
 
     def test_it_does_not_wait_while_engines_are_free(self):
         fleet = Fleet(12)
