Make the test of the last call fail on the code before it

Cause: with two streams an engine the prompt went at once in any case; with six it waited to its end. It fails on the code before the last change and passes now.

--- a/tests/placement/test_choice.py
+++ b/tests/placement/test_choice.py
@@ -164,7 +164,7 @@
         assert worth_waiting(HUGE, placement, slack_s=8.0)
 
     def test_it_goes_at_last_rather_than_fail(self):
-        fleet = self._burst(2)
+        fleet = self._burst(6)
         placement = fleet.choose(HUGE)
         assert not worth_waiting(HUGE, placement, slack_s=0.3)
 
