Keep entries that were heard of as peers

An entry's read of the registry that was older than another's hello dropped that one from the peers, and it was added only when heard of for the first time; so one of the two was blind until the next read, 20 s later.

Change: entries heard of stay. The test failed before.

--- a/gentianhoist/peers/core.py
+++ b/gentianhoist/peers/core.py
@@ -147,8 +147,11 @@
             self._transport.close()
 
     def set_peers(self, hosts: Iterable[str]) -> None:
-        """Set the other entries; says hello to new ones."""
-        hosts = set(hosts) - {self._host}
+        """Set the entries of the registry; says hello to new ones.
+
+        Entries that were heard of stay, since what was read may be older than them.
+        """
+        hosts = (set(hosts) | self._heard.keys()) - {self._host}
         new = hosts - self._peers
         self._peers = hosts
         if new and self._transport is not None:
--- a/tests/peers/test_core.py
+++ b/tests/peers/test_core.py
@@ -112,6 +112,19 @@
         assert load.ids == ["a-1.1"]
         assert len(load.writers) == 1
 
+    async def test_a_registry_read_before_a_hello_drops_nobody(self):
+        clock = ManualClock()
+        first, first_wire = _link("a-1", "10.0.0.1", clock)
+        second, second_wire = _link("b-1", "10.0.0.2", clock)
+        links = {"10.0.0.1": first, "10.0.0.2": second}
+        second.set_peers(["10.0.0.1"])
+        _deliver(second_wire, "10.0.0.2", links)
+        first.set_peers([])
+        first.added(_commitment("a-1.1"), clock.elapsed_s())
+        await asyncio.sleep(0.01)
+        _deliver(first_wire, "10.0.0.1", links)
+        assert second._ledger.load("engine-1").requests == 1
+
     async def test_unreadable_datagram_changes_nothing(self):
         first, _, _, _ = await self._pair(ManualClock())
         first.datagram_received(b"\xff\x00", ("10.0.0.9", 7340))
