Release tickets when a caller leaves while they are made; blame no server for our checks

Cause: read before landing. A prompt cancelled while its memory was being reserved left its tickets to their leases (3 s); a send that our own check stopped (a newer route, a server that has just left) counted as that server's failure; a connection that ended between its lease and the send would have left the send counted.

Change: everything is released on every way out; such a send says nothing about the server; the connection is checked before the bytes are made. The tests of the first two failed before.

--- a/gentianhoist/dispatch/_attempt.py
+++ b/gentianhoist/dispatch/_attempt.py
@@ -30,6 +30,7 @@
         fault_address: Address of the server to blame, if another than the one asked.
         wrong_server: Whether another server has the address now.
         silent: Whether the server said nothing at all in time.
+        by_server: Whether it tells anything about the server.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         fault_address: str | None = None,
         wrong_server: bool = False,
         silent: bool = False,
+        by_server: bool = True,
     ) -> None:
         super().__init__(reason)
         self.execution = execution
@@ -47,6 +49,7 @@
         self.fault_address = fault_address
         self.wrong_server = wrong_server
         self.silent = silent
+        self.by_server = by_server
 
 
 class Attempt:
@@ -98,7 +101,10 @@
         reason = still_allowed()
         if reason is not None:
             self.close()
-            raise AttemptFailed(Execution.UNSENT, reason)
+            raise AttemptFailed(Execution.UNSENT, reason, by_server=False)
+        if not self._connection.usable:
+            self.close()
+            raise AttemptFailed(Execution.UNSENT, "the connection has ended")
         try:
             self._connection.send(encode(), head_only=self._call.method == b"HEAD")
         except ConnectionFailed as error:
--- a/gentianhoist/dispatch/_placing.py
+++ b/gentianhoist/dispatch/_placing.py
@@ -42,7 +42,9 @@
 _SILENCE_MARGIN_S = 0.3
 _SHORT_RETRY_S = 0.01
 _LONG_RETRY_S = 0.1
-_plain_ids = itertools.count()
+# Time after which other engines are tried where memory wasn't granted.
+_RESERVE_AGAIN_S = 0.05
+_numbers = itertools.count()
 
 
 @dataclass
@@ -55,7 +57,8 @@
         urgency: Its rank at the engine.
         helpers: Engines that read parts, each with its ticket or nothing.
         own_ticket: Ticket at the first engine, if it has one.
-        holders: Engines that hold a ticket of it.
+        holders: Engines that hold a ticket of it, or may have been given one.
+        renewal: Renews the tickets.
     """
 
     id: str
@@ -92,18 +95,17 @@
             HoistError: If there is no room in time.
         """
         while True:
-            id_ = f"{self._dispatcher.peers.entry}.{next(_plain_ids)}"
+            id_ = f"{self._dispatcher.peers.entry}.{next(_numbers)}"
+            reserved = await self._commit(id_)
             try:
-                placement = await self._engines(id_)
-                reserved = Reserved(id_, placement, self._urgency())
-                self._log(reserved)
-                if await self._take_tickets(reserved):
-                    return reserved
+                granted = await self._take_tickets(reserved)
             except BaseException:
-                self._end(id_)
+                self.release(reserved)
                 raise
+            if granted:
+                return reserved
             self.release(reserved)
-            await asyncio.sleep(0.05)
+            await asyncio.sleep(_RESERVE_AGAIN_S)
 
     def first_event(self, reserved: Reserved, after_s: float) -> None:
         """Take note of the first event of the stream."""
@@ -133,6 +135,17 @@
         self._dispatcher.peers.ended(id_)
         self._dispatcher.pump.wake()
 
+    async def _commit(self, id_: str) -> Reserved:
+        """Engines for the prompt, with the commitments that the others hear of."""
+        try:
+            placement = await self._engines(id_)
+        except BaseException:
+            self._end(id_)
+            raise
+        reserved = Reserved(id_, placement, self._urgency())
+        self._log(reserved)
+        return reserved
+
     async def _engines(self, id_: str) -> Placement:
         placement = self._try(id_)
         if not isinstance(placement, Unplaced):
--- a/gentianhoist/dispatch/_sending.py
+++ b/gentianhoist/dispatch/_sending.py
@@ -20,6 +20,7 @@
 _MAX_TRIES = 12
 _GONE_WEIGHT = 2.0
 _SILENT_WEIGHT = 1.5
+_NOT_EXECUTED_WEIGHT = 0.3
 _RETRY_AFTER_S = 0.3
 
 
@@ -100,7 +101,7 @@
 
         def encode() -> bytes:
             left_s = request.left_s(self._loop.time())
-            final = options_with(options, request, left_s)
+            final = _options_at_send(options, request, left_s)
             request.sent(server.id)
             self._state.note_sent(server, self._dispatcher.clock.elapsed_s())
             return self._dispatcher.wire.encode(request.call, server, final)
@@ -122,7 +123,7 @@
         request.avoid.add(server.id)
         if failure.execution is Execution.NOT_EXECUTED:
             request.not_executed(server.id)
-        blamed = self._blamed(server, failure)
+        blamed = self._blamed(server, failure) if failure.by_server else None
         if blamed is not None:
             request.avoid.add(blamed.id)
             evidence = self._state.evidence.of(blamed.incarnation)
@@ -228,7 +229,9 @@
         return server
 
 
-def options_with(options: SendOptions, request: Request, left_s: float) -> SendOptions:
+def _options_at_send(
+    options: SendOptions, request: Request, left_s: float
+) -> SendOptions:
     """The options as of the moment of the send."""
     return SendOptions(
         organisation=request.organisation,
@@ -244,7 +247,7 @@
     if failure.wrong_server:
         return _GONE_WEIGHT
     if failure.execution is Execution.NOT_EXECUTED:
-        return 0.3
+        return _NOT_EXECUTED_WEIGHT
     if failure.silent:
         return _SILENT_WEIGHT
     return 1.0
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -131,7 +131,7 @@
 
     @property
     def usable(self) -> bool:
-        return False
+        return not self._closed
 
 
 class FakePool:
@@ -184,6 +184,7 @@
         self, server: BackendServer, ticket: str, tokens: int, hold_s: float
     ) -> bool:
         self._world.tickets[server.id, ticket] = tokens
+        await asyncio.sleep(0.1)
         return True
 
     async def release(self, server: BackendServer, ticket: str) -> None:
--- a/tests/dispatch/test_at_most_once.py
+++ b/tests/dispatch/test_at_most_once.py
@@ -1,5 +1,6 @@
 """What callers are told against what servers did, over generated behaviours."""
 
+import asyncio
 import itertools
 
 import pytest
@@ -38,8 +39,6 @@
 
 
 async def _later(loop: InstantLoop) -> None:
-    import asyncio
-
     await asyncio.sleep(10.0)
 
 
@@ -94,6 +93,76 @@
         assert len(set(fleet.world.runs)) <= 2
 
 
+class TestCheckedAtTheSend:
+    """What changes between the choice of a server and the send."""
+
+    def test_a_server_that_has_just_left_is_not_blamed(self):
+        def leave(fleet) -> None:
+            usable = fleet.state.directory.usable
+            gone = fleet.servers[0].id
+            fleet.state.directory.usable = lambda id_, now_s: (
+                None if id_ == gone else usable(id_, now_s)
+            )
+
+        for seed in range(5):
+            fleet, responder, _ = _serve(
+                [Does.ANSWER],
+                Repeatable.NON_IDEMPOTENT,
+                streaming=False,
+                before=lambda fleet, seed=seed: (
+                    fleet.state.rng.seed(seed),
+                    leave(fleet),
+                ),
+            )
+            left = fleet.servers[0]
+            assert responder.status == 200
+            assert fleet.world.runs != [left.id]
+            assert fleet.state.evidence.of(left.incarnation).failures == 0.0
+
+
+class TestReservations:
+    """A prompt larger than one engine's memory, and its tickets on every way out."""
+
+    TOKENS = 300_000
+
+    def _serve(self, script: list[Does], leave_after_s: float) -> tuple[int, dict]:
+        loop = InstantLoop()
+        fleet = Fleet(loop, itertools.cycle(script))
+        fleet.state.replica.take(configuration(Repeatable.IDEMPOTENT, streaming=True))
+        seen: list[int] = []
+
+        async def run() -> None:
+            request = call(loop, prompt_tokens=self.TOKENS)
+            work = asyncio.ensure_future(
+                fleet.dispatcher.handle(request, FakeResponder())  # type: ignore[arg-type]
+            )
+            await asyncio.sleep(0.05)
+            seen.append(len(fleet.world.tickets))
+            await asyncio.wait([work], timeout=leave_after_s)
+            work.cancel()
+            await asyncio.gather(work, return_exceptions=True)
+            await asyncio.sleep(5.0)
+
+        loop.run(run())
+        loop.shut()
+        return seen[0], fleet.world.tickets
+
+    def test_are_released_after_the_answer(self):
+        reserved, left = self._serve([Does.ANSWER], leave_after_s=5.0)
+        assert reserved >= 2
+        assert left == {}
+
+    def test_are_released_when_the_caller_leaves_while_they_are_made(self):
+        reserved, left = self._serve([Does.ANSWER], leave_after_s=0.01)
+        assert reserved >= 2
+        assert left == {}
+
+    @pytest.mark.parametrize("does", [Does.SILENT, Does.CUT, Does.REJECT])
+    def test_are_released_after_failures(self, does):
+        _, left = self._serve([does], leave_after_s=5.0)
+        assert left == {}
+
+
 class TestIdempotent:
     def test_is_answered_by_another_server_after_a_reset(self):
         fleet, responder, _ = _serve(
