Keep an entry's pause in mind through other signals in the soak

Its logs: an entry was paused until it was closed, since a SIGHUP of the other, overlapping series of faults cleared the note that it was. The case is a test that failed before.

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -94,7 +94,8 @@
         if self.running:
             assert self._process is not None
             self._process.send_signal(number)
-            self.paused = number is signal.SIGSTOP
+            if number in {signal.SIGSTOP, signal.SIGCONT}:
+                self.paused = number is signal.SIGSTOP
 
     async def close(self) -> None:
         """End it, gracefully if it can."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+import signal
 
 import pytest
 
+from soak._fleet import EntryProcess
 from soak._proxy import FaultyProxy
 from soak.core import soak
 
@@ -21,6 +23,27 @@
         assert sum(report.calls.values()) > 20
 
 
+class TestEntryProcess:
+    def test_stays_paused_through_other_signals(self, tmp_path):
+        """Seed 905: a SIGHUP to a paused entry left it paused for good."""
+        sent = []
+
+        class Process:
+            returncode = None
+
+            def send_signal(self, number) -> None:
+                sent.append(number)
+
+        entry = EntryProcess(0, 1, tmp_path)
+        entry._process = Process()
+        entry.signal(signal.SIGSTOP)
+        entry.signal(signal.SIGHUP)
+        assert entry.paused
+        entry.signal(signal.SIGCONT)
+        assert not entry.paused
+        assert len(sent) == 3
+
+
 class TestFaultyProxy:
     async def test_forwards_and_resets(self):
         async def echo(reader, writer) -> None:
