--- a/gentianhoist/dispatch/_whole.py
+++ b/gentianhoist/dispatch/_whole.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple
 
 from gentianhoist.dispatch._attempt import AttemptFailed, Execution
 from gentianhoist.dispatch._ports import SendOptions, ServerAnswer
 from gentianhoist.dispatch._sending import Sender
 from gentianhoist.fleet import BackendServer
 
-if TYPE_CHECKING:
-    pass
-
 __all__ = ["WholeCall"]
 
 _SERVER_ERROR = 500
