--- a/gentianhoist/configuration/_replica.py
+++ b/gentianhoist/configuration/_replica.py
@@ -17,35 +17,25 @@
     decode_configuration,
     encode_configuration,
 )
+from gentianhoist.fleet import ForwardReplica
 from gentianhoist.wire import ConfigurationUpdate
 
 _RECORDS_KEPT = 64
 
 
-class ConfigurationReplica:
+class ConfigurationReplica(ForwardReplica[Configuration]):
     """The configuration that a process goes by, and the newest changes to it."""
 
     def __init__(self) -> None:
-        self._current: Configuration | None = None
+        super().__init__()
         self._records: deque[ChangeRecord] = deque(maxlen=_RECORDS_KEPT)
 
-    @property
-    def current(self) -> Configuration | None:
-        """The configuration, or nothing just after the start."""
-        return self._current
-
-    @property
-    def version(self) -> int:
-        """Its version, 0 just after the start."""
-        return self._current.version if self._current else 0
-
     def replace(self, configuration: Configuration) -> bool:
         """Take a whole configuration if it is newer; whether it was."""
-        if configuration.version <= self.version:
-            return False
-        self._current = configuration
-        self._records.clear()
-        return True
+        taken = self.take_newer(configuration)
+        if taken:
+            self._records.clear()
+        return taken
 
     def apply(self, record: ChangeRecord) -> bool:
         """Apply a change if it is the next one; whether it was."""
--- a/gentianhoist/fleet/__init__.py
+++ b/gentianhoist/fleet/__init__.py
@@ -10,6 +10,7 @@
     TableFollower,
 )
 from gentianhoist.fleet._registry import EntryRegistry, EntryRows
+from gentianhoist.fleet._replica import ForwardReplica
 from gentianhoist.fleet._routes import (
     Organisation,
     Repeatable,
@@ -35,6 +36,7 @@
     "FeedPage",
     "FeedRow",
     "FollowPolicy",
+    "ForwardReplica",
     "HistoryLost",
     "Organisation",
     "Repeatable",
--- a/gentianhoist/fleet/_routes.py
+++ b/gentianhoist/fleet/_routes.py
@@ -6,6 +6,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from gentianhoist.fleet._replica import ForwardReplica
 from gentianhoist.fleet.core import ServerGroup
 from gentianhoist.http1 import RequestLimits
 
@@ -130,30 +131,10 @@
         return key in self._organisations
 
 
-class RoutingReplica:
-    """The configuration that an entry goes by; it only goes forward."""
-
-    def __init__(self) -> None:
-        self._current: RoutingConfiguration | None = None
-
-    @property
-    def current(self) -> RoutingConfiguration | None:
-        """The newest version read, or nothing before the first."""
-        return self._current
-
-    @property
-    def version(self) -> int:
-        """Its version, 0 before the first."""
-        return self._current.version if self._current else 0
+class RoutingReplica(ForwardReplica[RoutingConfiguration]):
+    """The configuration that an entry goes by."""
 
     @property
     def limits(self) -> RequestLimits:
         """What callers may send."""
         return self._current.limits if self._current else RequestLimits()
-
-    def take(self, configuration: RoutingConfiguration) -> bool:
-        """Take a version if it is newer; whether it was."""
-        if configuration.version <= self.version:
-            return False
-        self._current = configuration
-        return True
--- a/tests/dispatch/test_at_most_once.py
+++ b/tests/dispatch/test_at_most_once.py
@@ -25,7 +25,7 @@
 ):
     loop = InstantLoop()
     fleet = Fleet(loop, itertools.cycle(script))
-    fleet.state.replica.take(configuration(repeatable, streaming=streaming))
+    fleet.state.replica.take_newer(configuration(repeatable, streaming=streaming))
     before(fleet)
     responder = FakeResponder()
     tokens = 5_000 if streaming else 0
@@ -128,7 +128,9 @@
     def _serve(self, script: list[Does], leave_after_s: float) -> tuple[int, dict]:
         loop = InstantLoop()
         fleet = Fleet(loop, itertools.cycle(script))
-        fleet.state.replica.take(configuration(Repeatable.IDEMPOTENT, streaming=True))
+        fleet.state.replica.take_newer(
+            configuration(Repeatable.IDEMPOTENT, streaming=True)
+        )
         seen: list[int] = []
 
         async def run() -> None:
