--- /dev/null
+++ b/tests/platform_adapter/test_store.py
@@ -0,0 +1,61 @@
+"""The client of the platform's store, before a stand-in of it."""
+
+import time
+
+import pytest
+
+from gentianhoist_platform.standins import StoreStandin
+from gentianhoist_platform.store import PlatformEntryRows, PlatformStore, PlatformTable
+
+_NOW_MS = time.monotonic() * 1000.0
+_STALE = b"%d" % (_NOW_MS - 600_000)
+
+
+@pytest.fixture
+async def store(unused_tcp_port):
+    standin = StoreStandin()
+    await standin.start(unused_tcp_port)
+    client = PlatformStore("127.0.0.1", unused_tcp_port)
+    yield standin, client
+    await client.close()
+    await standin.close()
+
+
+class TestEntriesComeAndGoForADay:
+    """Each replaced entry leaves a row: those alive must be found all the same."""
+
+    async def test_fresh_rows_are_found_behind_many_stale_ones(self, store):
+        standin, client = store
+        for number in range(1_200):
+            standin.put("entries", f"10.0.{number // 250}.{number % 250}", _STALE)
+        rows = PlatformEntryRows(client)
+        await rows.hosts()
+        await rows.renew("10.9.0.1")
+        assert await rows.hosts() == ["10.9.0.1"]
+
+    async def test_stale_rows_are_removed_little_by_little(self, store):
+        standin, client = store
+        for number in range(60):
+            standin.put("entries", f"10.0.0.{number}", _STALE)
+        rows = PlatformEntryRows(client)
+        for _ in range(4):
+            await rows.hosts()
+            await rows.renew("10.9.0.1")
+        assert standin.keys("entries") == ["10.9.0.1"]
+
+    async def test_a_row_that_was_renewed_meanwhile_stays(self, store):
+        standin, client = store
+        standin.put("entries", "10.0.0.1", _STALE)
+        rows = PlatformEntryRows(client)
+        await rows.hosts()
+        standin.put("entries", "10.0.0.1", b"%d" % (time.monotonic() * 1000.0))
+        await rows.renew("10.9.0.1")
+        assert standin.keys("entries") == ["10.0.0.1", "10.9.0.1"]
+
+
+async def test_whole_table_is_read_page_by_page(store):
+    standin, client = store
+    for number in range(1_100):
+        standin.put("servers", f"i-{number:04}", b"{}")
+    page = await PlatformTable(client, "servers").read(1.0)
+    assert len({row.key for row in page.rows}) == 1_100
