Pass configuration and directory on to an entry that the store turns away

Entries now ask one of the others over the port that they share, from the second failure on, and take what is newer; never what is older.

--- a/gentianhoist/fleet/__init__.py
+++ b/gentianhoist/fleet/__init__.py
@@ -1,10 +1,9 @@
 """What an entry believes of the fleet: backend servers, routes, organisations."""
 
+from gentianhoist.fleet._copies import FeedPage, FeedRow, OtherEntries, TableCopy
 from gentianhoist.fleet._directory import Directory, ServerListing
 from gentianhoist.fleet._follower import (
     ChangeFeed,
-    FeedPage,
-    FeedRow,
     FollowPolicy,
     HistoryLost,
     TableFollower,
@@ -39,6 +38,7 @@
     "ForwardReplica",
     "HistoryLost",
     "Organisation",
+    "OtherEntries",
     "Repeatable",
     "Route",
     "RoutingConfiguration",
@@ -46,6 +46,7 @@
     "ServerGroup",
     "ServerListing",
     "ServerState",
+    "TableCopy",
     "TableFollower",
     "WeightedGroup",
 ]
--- a/gentianhoist/fleet/_follower.py
+++ b/gentianhoist/fleet/_follower.py
@@ -9,14 +9,19 @@
 from typing import NamedTuple, Protocol
 
 from gentianhoist.clocks import Clock
+from gentianhoist.fleet._copies import (
+    FeedPage,
+    FeedRow,
+    NoOthers,
+    OtherEntries,
+    TableCopy,
+)
 from gentianhoist.fleet._task import OwnedTask
 from gentianhoist.store import StoreUnavailable
 from gentianhoist.telemetry import DecisionLog
 
 __all__ = [
     "ChangeFeed",
-    "FeedPage",
-    "FeedRow",
     "FollowPolicy",
     "HistoryLost",
     "TableFollower",
@@ -26,32 +31,6 @@
 _log = logging.getLogger(__name__)
 
 
-class FeedRow(NamedTuple):
-    """A row, or the news that it is gone.
-
-    Attributes:
-        key: Its key.
-        value: Its bytes, or nothing if it is gone.
-        version: The version at which it was written.
-    """
-
-    key: str
-    value: bytes | None
-    version: int
-
-
-class FeedPage(NamedTuple):
-    """Rows as of a version.
-
-    Attributes:
-        rows: The rows.
-        version: The version from which changes follow.
-    """
-
-    rows: list[FeedRow]
-    version: int
-
-
 class HistoryLost(Exception):
     """The store no longer has the changes asked for."""
 
@@ -107,6 +86,7 @@
         clock: The entry's clock.
         log: Told of the store's loss and return.
         regained: Called when the store answers again, before what it says is taken.
+        others: Asked for newer rows while the store gives none.
     """
 
     def __init__(
@@ -119,6 +99,7 @@
         clock: Clock,
         log: DecisionLog,
         regained: Callable[[], None] = lambda: None,
+        others: OtherEntries | None = None,
     ) -> None:
         self._name = name
         self._feed = feed
@@ -128,12 +109,25 @@
         self._clock = clock
         self._log = log
         self._on_regained = regained
+        self._others = others or NoOthers()
+        self._copy = TableCopy()
+        self._by_others = False
         self._version: int | None = None
         self._read_s = float("-inf")
         self._lost_s: float | None = None
         self._failures = 0
         self._rng = random.Random()
 
+    @property
+    def name(self) -> str:
+        """The table's name."""
+        return self._name
+
+    @property
+    def copy(self) -> TableCopy:
+        """The table as last read, for entries that the store turns away."""
+        return self._copy
+
     async def _run(self) -> None:
         while True:
             try:
@@ -148,6 +142,8 @@
                 self._lost(str(error))
                 self._version = None
                 pause_s = self._pause_after_failure_s()
+                if pause_s:
+                    await self._ask_others()
             except Exception as error:
                 # Whatever took the view down, a table that nobody follows is worse.
                 _log.exception("view not taken", extra={"table": self._name})
@@ -163,6 +159,7 @@
         if self._version is None or now_s - self._read_s > policy.reread_s:
             page = await self._feed.read(policy.answer_s)
             self._regained()
+            self._copy.replace(page)
             self._replace(page.rows)
             self._read_s = now_s
         else:
@@ -170,9 +167,28 @@
                 self._version, policy.wait_s, policy.wait_s + policy.answer_s
             )
             self._regained()
+            self._copy.change(page.rows, page.version)
             self._change(page.rows)
         self._version = page.version
 
+    async def _ask_others(self) -> None:
+        """Take what another entry has read since; the store may refuse only some."""
+        page = await self._others.newer(self._name, self._copy.version)
+        if page is None or page.version <= self._copy.version:
+            return
+        if not self._by_others:
+            # The outage may have been one of the whole store until just now.
+            self._by_others = True
+            self._on_regained()
+        self._log.record(
+            "taken_from_entry",
+            table=self._name,
+            version=page.version,
+            before=self._copy.version,
+        )
+        self._copy.replace(page)
+        self._replace(page.rows)
+
     def _pause_after_failure_s(self) -> float:
         """Nothing after the first: the answer may be all that was lost."""
         self._failures += 1
@@ -190,6 +206,7 @@
             self._on_regained()
             after_s = self._clock.elapsed_s() - self._lost_s
             self._lost_s = None
+            self._by_others = False
             self._log.record(
                 "store_regained", table=self._name, after_s=round(after_s, 3)
             )
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -34,7 +34,7 @@
     TableFollower,
 )
 from gentianhoist.http1 import CallerRequest, HttpServer, Responder
-from gentianhoist.peers import PeerLink
+from gentianhoist.peers import PeerLink, PeerTables
 from gentianhoist.telemetry import DecisionLog, EntryMetrics
 
 __all__ = ["Boundary", "Gateway", "GatewaySettings", "OperatorView"]
@@ -164,6 +164,9 @@
             self._clock,
             lambda: self._dispatcher.pump.wake(),
         )
+        self._tables = PeerTables(
+            settings.host, settings.peers_port, lambda: self._peers.live_hosts
+        )
         self._dispatcher = Dispatcher(
             self._state,
             boundary.wire,
@@ -179,6 +182,8 @@
         self._readiness = HttpServer(self._say_ready)
         self._exposition = HttpServer(self._say_metrics)
         self._followers = self._make_followers()
+        for follower in self._followers:
+            self._tables.offer(follower.name, follower.copy)
         self._registry = EntryRegistry(
             boundary.entry_rows, settings.host, self._peers.set_peers, log
         )
@@ -198,6 +203,7 @@
         settings = self._settings
         self._hold_until_s = asyncio.get_running_loop().time() + _START_HOLD_S
         await self._peers.start()
+        await self._tables.start()
         for follower in self._followers:
             follower.start()
         self._registry.start()
@@ -234,6 +240,7 @@
             await follower.close()
         await self._registry.close()
         await self._peers.close()
+        await self._tables.close()
         self._dispatcher.pump.close()
         self._state.close()
         await self._boundary.close()
@@ -255,6 +262,7 @@
                 self._change_operator_rows,
                 self._clock,
                 self._log,
+                others=self._tables,
             ),
             TableFollower(
                 "servers",
@@ -265,6 +273,7 @@
                 self._clock,
                 self._log,
                 lambda: self._state.directory.store_regained(self._clock.elapsed_s()),
+                self._tables,
             ),
         ]
 
--- a/gentianhoist/http1/__init__.py
+++ b/gentianhoist/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 on both sides of an entry, with every byte accounted for."""
 
 from gentianhoist.http1._client import ClientConnection, ConnectionFailed, ResponseHead
+from gentianhoist.http1._exchange import WholeAnswer, exchange
 from gentianhoist.http1._pool import ConnectionPool, Lease, PoolLimits
 from gentianhoist.http1._responder import CallerRequest, Responder
 from gentianhoist.http1._server import HttpServer
@@ -18,6 +19,8 @@
     "RequestLimits",
     "Responder",
     "ResponseHead",
+    "WholeAnswer",
     "encode_request",
+    "exchange",
     "header",
 ]
--- a/gentianhoist/peers/__init__.py
+++ b/gentianhoist/peers/__init__.py
@@ -1,6 +1,7 @@
-"""What entries tell each other of the work that they send."""
+"""What entries tell each other: the work that they send, and tables of the store."""
 
 from gentianhoist.peers._messages import Added, Batch, Ended, FirstEvent
+from gentianhoist.peers._tables import PeerTables
 from gentianhoist.peers.core import CommitmentSink, NoPeers, PeerLink
 
 __all__ = [
@@ -11,4 +12,5 @@
     "FirstEvent",
     "NoPeers",
     "PeerLink",
+    "PeerTables",
 ]
--- a/gentianhoist/peers/core.py
+++ b/gentianhoist/peers/core.py
@@ -132,6 +132,11 @@
         """Other entries heard of lately."""
         return len(self._heard)
 
+    @property
+    def live_hosts(self) -> list[str]:
+        """IP numbers of the entries heard of lately."""
+        return list(self._heard)
+
     async def start(self) -> None:
         """Open the socket."""
         loop = asyncio.get_running_loop()
