Let small organisations go first where one sends much, without starving it

Use is counted with the fair shares that sidecars have; an organisation over its share is taken to have twice its slack, so its prompts still pass those that came much later. Tests: others go first, the large one does not starve, use is forgotten.

--- a/gentianhoist/capacity/_fair_shares.py
+++ b/gentianhoist/capacity/_fair_shares.py
@@ -1,4 +1,4 @@
-"""Which organisations have taken more than their share of an engine lately."""
+"""Which organisations have taken more than their share lately."""
 
 from __future__ import annotations
 
@@ -10,7 +10,7 @@
 
 
 class FairShares:
-    """Recent use of one engine by organisation, forgotten exponentially.
+    """Recent use of an engine or a fleet by organisation, forgotten exponentially.
 
     Example:
         >>> shares = FairShares()
@@ -34,7 +34,7 @@
             organisation: Whose it is.
             weight: Weight of the organisation.
             tokens: Tokens that it costs.
-            now_s: The time on the sidecar's clock.
+            now_s: The time on the process's clock.
         """
         self._decay(now_s)
         self._weights[organisation] = weight
@@ -42,12 +42,20 @@
 
     def over_share(self, organisation: str, now_s: float) -> bool:
         """Whether an organisation has had more than its share among the active ones."""
+        return organisation in self.all_over_share(now_s)
+
+    def all_over_share(self, now_s: float) -> frozenset[str]:
+        """All organisations that have had more than their share."""
         self._decay(now_s)
         total = sum(self._used.values())
         if len(self._used) < 2 or not total:
-            return False
-        fair = self._weights.get(organisation, 0.0) / sum(self._weights.values())
-        return self._used.get(organisation, 0.0) / total > fair * _TOLERANCE
+            return frozenset()
+        bound = _TOLERANCE * total / sum(self._weights.values())
+        return frozenset(
+            organisation
+            for organisation, used in self._used.items()
+            if used > bound * self._weights[organisation]
+        )
 
     def _decay(self, now_s: float) -> None:
         factor = math.exp(-max(0.0, now_s - self._updated_s) / _MEMORY_S)
--- a/gentianhoist/dispatch/_placing.py
+++ b/gentianhoist/dispatch/_placing.py
@@ -178,6 +178,7 @@
             self._request.priority,
             lambda: self._try(id_),
             self._loop.create_future(),
+            self._request.organisation_name,
             _LONG_RETRY_S if long else _SHORT_RETRY_S,
         )
 
@@ -210,6 +211,9 @@
         for commitment in self._commitments(id_, demand, placement, now_s):
             self._state.ledger.add(commitment, now_s)
             self._dispatcher.peers.added(commitment, now_s)
+        self._state.queue.charge(
+            self._request.organisation_name, demand.kv_tokens, now_s
+        )
         return placement
 
     def _candidates(self) -> list[Candidate]:
--- a/gentianhoist/dispatch/_request.py
+++ b/gentianhoist/dispatch/_request.py
@@ -65,6 +65,11 @@
         ran_on = sum(count > 0 for count in self.runs.values())
         return self.idempotent and ran_on < self.route.max_servers
 
+    @property
+    def organisation_name(self) -> str:
+        """Name of its organisation; empty if it has none."""
+        return "" if self.organisation is None else self.organisation.name
+
     @property
     def priority(self) -> int:
         """Its rank: the organisation's if it has one, else the route's."""
--- a/gentianhoist/placement/_queue.py
+++ b/gentianhoist/placement/_queue.py
@@ -7,11 +7,15 @@
 from dataclasses import dataclass
 from enum import Enum, StrEnum
 
+from gentianhoist.capacity import FairShares
 from gentianhoist.placement._choice import Demand, Placement
 
 __all__ = ["PlacementQueue", "QueueOrder", "Refused", "Unplaced", "Waiting"]
 
 _MAX_WAITING = 512
+# How much more slack an organisation over its share is taken to have.
+_OVER_SHARE_SLACK_RATIO = 2.0
+_EQUAL_WEIGHT = 1.0
 
 
 class QueueOrder(StrEnum):
@@ -52,6 +56,7 @@
         priority: Rank, 0 is the highest.
         place: Tries to place it, on the loads of this moment.
         result: Set to the placement or to the refusal.
+        organisation: Whose it is; empty if nobody is known.
         retry_s: Time between two tries.
         next_try_s: When it is tried again, on the entry's clock.
     """
@@ -61,12 +66,23 @@
     priority: int
     place: Callable[[], Placement | Unplaced]
     result: asyncio.Future[Placement | Refused]
+    organisation: str = ""
     retry_s: float = 0.01
     next_try_s: float = float("-inf")
 
-    def order(self, now_s: float) -> tuple[int, float]:
-        """Lower goes first: rank, then value for the slack that is left."""
+    def order(
+        self, now_s: float, over_share: frozenset[str] = frozenset()
+    ) -> tuple[int, float]:
+        """Lower goes first: rank, then value for the slack that is left.
+
+        Args:
+            now_s: The time on the entry's clock.
+            over_share: Organisations that have had more than their share. They come
+                later, but by no more than a part of their slack, so none starves.
+        """
         slack_s = max(0.05, self.give_up_s - now_s)
+        if self.organisation in over_share:
+            slack_s *= _OVER_SHARE_SLACK_RATIO
         size = 1.0 + self.demand.kv_tokens / 20_000
         return (self.priority, slack_s * size / self.demand.value)
 
@@ -81,6 +97,7 @@
     def __init__(self, order: QueueOrder = QueueOrder.BY_VALUE) -> None:
         self._order = order
         self._waiting: list[Waiting] = []
+        self._shares = FairShares()
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -95,6 +112,17 @@
         """Whether one that comes now may be placed before those that wait."""
         return self._order is QueueOrder.BY_VALUE or not self._waiting
 
+    def charge(self, organisation: str, tokens: int, now_s: float) -> None:
+        """Take note of work that was placed, whether it waited or not.
+
+        Args:
+            organisation: Whose it is; empty if nobody is known.
+            tokens: KV memory that it takes.
+            now_s: The time on the entry's clock.
+        """
+        if organisation:
+            self._shares.charge(organisation, _EQUAL_WEIGHT, tokens, now_s)
+
     def join(self, item: Waiting) -> None:
         """Add a request."""
         self._waiting.append(item)
@@ -126,7 +154,9 @@
 
     def _place_by_value(self, now_s: float) -> None:
         smallest_refused: float = float("inf")
-        for item in sorted(self._waiting, key=lambda item: item.order(now_s)):
+        over_share = self._shares.all_over_share(now_s)
+        ordered = sorted(self._waiting, key=lambda item: item.order(now_s, over_share))
+        for item in ordered:
             # Where a prompt found no room, none that is as large finds any.
             if item.demand.kv_tokens >= smallest_refused or now_s < item.next_try_s:
                 continue
--- a/tests/placement/test_queue.py
+++ b/tests/placement/test_queue.py
@@ -69,6 +69,50 @@
         assert not len(queue)
 
 
+class TestOneOrganisationSendsMuch:
+    """A hot key: one organisation asks for most of the fleet, beside small ones."""
+
+    def _queue(self) -> PlacementQueue:
+        queue = PlacementQueue()
+        for _ in range(50):
+            queue.charge("large", 5_000, 0.0)
+        queue.charge("small", 5_000, 0.0)
+        return queue
+
+    def _join(self, queue, organisation, give_up_s, order) -> Waiting:
+        def place() -> Placement:
+            order.append(organisation)
+            return _PLACED
+
+        item = _waiting(_demand(5_000), place, give_up_s)
+        item.organisation = organisation
+        queue.join(item)
+        return item
+
+    async def test_others_go_before_it(self):
+        queue, order = self._queue(), []
+        for give_up_s in (3.0, 3.1, 3.2):
+            self._join(queue, "large", give_up_s, order)
+        self._join(queue, "small", 4.0, order)
+        queue.changed(0.0)
+        assert order == ["small", "large", "large", "large"]
+
+    async def test_it_does_not_starve(self):
+        """Its slack shrinks, so in the end it passes those that came much later."""
+        queue, order = self._queue(), []
+        self._join(queue, "large", 3.0, order)
+        self._join(queue, "small", 7.0, order)
+        queue.changed(0.0)
+        assert order == ["large", "small"]
+
+    async def test_use_is_forgotten(self):
+        queue, order = self._queue(), []
+        self._join(queue, "large", 103.0, order)
+        self._join(queue, "small", 103.1, order)
+        queue.changed(100.0)
+        assert order == ["large", "small"]
+
+
 class TestFirstComeBaseline:
     async def test_nobody_passes_one_that_came_earlier(self):
         queue = PlacementQueue(QueueOrder.FIRST_COME)
