Let soak entries hear each other, cut one off the store, and write a page a run

Entries have an address each, so they tell each other of their work, and a link each to the store.

Ports are given once now; test with a probe that repeats itself.

--- a/gentianhoist/cli/core.py
+++ b/gentianhoist/cli/core.py
@@ -23,6 +23,7 @@
 )
 from gentianhoist.cli._replay import ReplayCommand
 from gentianhoist.cli._settings import CheckCommand, SettingsCommand
+from gentianhoist.cli._soak import SoakCommand
 from gentianhoist.cli._standins import StandinCommand
 
 __all__ = ["Gentianhoist", "main"]
@@ -80,6 +81,7 @@
         | ReplayCommand
         | KeyCommand
         | DemoCommand
+        | SoakCommand
         | StandinCommand
     ]
 
--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -23,50 +23,62 @@
 _DESKS = 3
 _STOP_S = 5.0
 _RESTART_S = 0.3
+_HOSTS_A_BLOCK = 200
 
 
-def _free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+_ports_given: set[int] = set()
+
+
+def _free_port(host: str = "127.0.0.1") -> int:
+    """A port that nobody has, and that was not given before."""
+    while True:
+        with socket.socket() as sock:
+            sock.bind((host, 0))
+            port = int(sock.getsockname()[1])
+        if port not in _ports_given:
+            _ports_given.add(port)
+            return port
+
+
+def _host(number: int) -> str:
+    """An address of this machine for each entry, so that they find each other."""
+    block, place = divmod(number, _HOSTS_A_BLOCK)
+    return f"127.0.{block + 1}.{place + 1}"
 
 
 class EntryProcess:
     """One entry, started and ended by its own id.
 
     Args:
-        number: Its number.
+        number: Its number; decides its address.
         store_port: Port of its link to the store.
+        peers_port: Port on which entries speak to each other.
         folder: For its settings and its log.
     """
 
-    def __init__(self, number: int, store_port: int, folder: Path) -> None:
-        self.port = _free_port()
+    def __init__(
+        self, number: int, store_port: int, peers_port: int, folder: Path
+    ) -> None:
+        host = _host(number)
+        self.address = f"{host}:{_free_port(host)}"
         self.paused = False
         self._log = folder / f"entry-{number}.log"
         self._settings = folder / f"entry-{number}.conf"
         self._process: asyncio.subprocess.Process | None = None
-        # Entries share one address here, so none finds another's socket.
-        peers = _free_port(socket.SOCK_DGRAM)
         lines = {
             "node_name": f"edge-{number}",
-            "ip": "127.0.0.1",
+            "ip": host,
             "zone": "z1",
-            "listen.frontend": f"127.0.0.1:{self.port}",
-            "listen.ready": f"127.0.0.1:{_free_port()}",
-            "internal_ports": f"{peers},{peers}",
+            "listen.frontend": self.address,
+            "listen.ready": f"{host}:{_free_port(host)}",
+            "internal_ports": f"{peers_port},{peers_port}",
             "platform.address": f"127.0.0.1:{store_port}",
             "bounds.grace_s": "4",
-            "metrics_port": str(_free_port()),
+            "metrics_port": str(_free_port(host)),
         }
         text = "".join(f"{name}={value}\n" for name, value in lines.items())
         self._settings.write_text(text, encoding="utf-8")
 
-    @property
-    def address(self) -> str:
-        """Where callers reach it."""
-        return f"127.0.0.1:{self.port}"
-
     @property
     def running(self) -> bool:
         """Whether the process is there."""
@@ -132,14 +144,16 @@
     async def start(self) -> None:
         """Start the store, the servers behind links, and the entries."""
         await self.store.start()
-        store_link = FaultyProxy(self.store.port)
-        await store_link.start()
-        self.links.append(store_link)
         self.configure()
         for number in range(_ENGINES + _DESKS):
             await self._add_server(number)
+        peers_port = _free_port()
         for number in range(self._wanted):
-            entry = EntryProcess(number, store_link.port, self._folder)
+            # Each has a link of its own to the store, so that one may be cut off.
+            store_link = FaultyProxy(self.store.port)
+            await store_link.start()
+            self.links.append(store_link)
+            entry = EntryProcess(number, store_link.port, peers_port, self._folder)
             self.entries.append(entry)
             await entry.start()
         self._supervisor = asyncio.ensure_future(self._supervise())
--- a/soak/core.py
+++ b/soak/core.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 import signal
+import time
 from collections import Counter
 from pathlib import Path
 from typing import NamedTuple
@@ -21,7 +22,7 @@
 from soak._fleet import SoakFleet
 from soak._proxy import LinkFaults
 
-__all__ = ["Report", "soak"]
+__all__ = ["BrokenPromise", "Fault", "Report", "soak"]
 
 _CALLERS = 12
 _PAUSE_S = 0.05
@@ -33,21 +34,47 @@
 _START_S = 2.0
 
 
+class Fault(NamedTuple):
+    """A fault that was injected.
+
+    Attributes:
+        at_s: When, in Unix seconds.
+        what: What it was.
+    """
+
+    at_s: float
+    what: str
+
+
+class BrokenPromise(NamedTuple):
+    """A promise that callers or servers saw broken.
+
+    Attributes:
+        request_id: The request.
+        what: What was seen.
+    """
+
+    request_id: str
+    what: str
+
+
 class Report(NamedTuple):
     """What a soak saw.
 
     Attributes:
         seed: Its seed.
         calls: Requests by kind and status.
-        faults: Faults in order, with their times.
+        ended: When each request ended, in Unix seconds, and whether it was served.
+        faults: Faults in order.
         broken: Promises that were broken.
         unrecovered: What was not served after the faults, empty if enough was.
     """
 
     seed: int
     calls: Counter[tuple[str, int]]
-    faults: list[str]
-    broken: list[str]
+    ended: list[tuple[float, bool]]
+    faults: list[Fault]
+    broken: list[BrokenPromise]
     unrecovered: str
 
 
@@ -57,8 +84,9 @@
         self._seconds = seconds
         self._fleet = fleet
         self._outcomes: list[Outcome] = []
+        self.ended: list[tuple[float, bool]] = []
         self._numbers = 0
-        self.faults: list[str] = []
+        self.faults: list[Fault] = []
 
     async def run(self) -> None:
         """Load and faults, then calm, then the check that service is back."""
@@ -78,17 +106,18 @@
             await asyncio.gather(*load, return_exceptions=True)
             self._last = [await self._call(caller) for _ in range(_CHECK_CALLS)]
 
-    def broken(self) -> list[str]:
+    def broken(self) -> list[BrokenPromise]:
         """Promises that callers and servers saw broken."""
         broken = []
         for outcome in self._outcomes:
             runs = self._fleet.runs(outcome.id)
             if outcome.fault:
-                broken.append(f"{outcome.id}: {outcome.fault}")
+                broken.append(BrokenPromise(outcome.id, outcome.fault))
             if runs > 1 and not outcome.kind.idempotent:
-                broken.append(f"{outcome.id}: ran {runs} times")
+                broken.append(BrokenPromise(outcome.id, f"ran {runs} times"))
             if runs and outcome.says_not_run and not outcome.kind.idempotent:
-                broken.append(f"{outcome.id}: ran though {outcome.status} denies it")
+                what = f"ran though {outcome.status} denies it"
+                broken.append(BrokenPromise(outcome.id, what))
         return broken
 
     def unrecovered(self) -> str:
@@ -119,6 +148,7 @@
             self._outcomes.append(Outcome(id_, kind, 0, False, ""))
             raise
         self._outcomes.append(outcome)
+        self.ended.append((time.time(), outcome.whole))
         return outcome
 
     async def _trouble(self) -> None:
@@ -149,13 +179,29 @@
 
     async def _link_trouble(self) -> None:
         link = self._rng.choice(self._fleet.links)
-        fault = self._rng.choice(["delay_s", "silent", "one_way", "refuse", "reset"])
+        fault = self._rng.choice([
+            "delay_s",
+            "silent",
+            "one_way",
+            "refuse",
+            "reset",
+            "cut",
+        ])
         self._note(f"link {self._fleet.links.index(link)} {fault}")
-        if fault == "reset":
-            link.reset()
-            return
-        setattr(link.faults, fault, 0.2 if fault == "delay_s" else True)
-        await asyncio.sleep(self._rng.uniform(0.2, 1.2))
+        longest_s = 1.2
+        match fault:
+            case "reset":
+                link.reset()
+                return
+            case "cut":
+                link.faults.refuse = True
+                link.reset()
+                longest_s = 4.0
+            case "delay_s":
+                link.faults.delay_s = 0.2
+            case _:
+                setattr(link.faults, fault, True)
+        await asyncio.sleep(self._rng.uniform(0.2, longest_s))
         link.faults = LinkFaults()
 
     async def _store_trouble(self) -> None:
@@ -204,8 +250,7 @@
                 entry.signal(signal.SIGCONT)
 
     def _note(self, fault: str) -> None:
-        now_s = asyncio.get_running_loop().time()
-        self.faults.append(f"{now_s:.3f} {fault}")
+        self.faults.append(Fault(time.time(), fault))
 
 
 async def soak(seed: int, seconds: float, folder: Path, entries: int = 3) -> Report:
@@ -225,6 +270,8 @@
     await fleet.start()
     try:
         await run.run()
-        return Report(seed, run.calls(), run.faults, run.broken(), run.unrecovered())
+        return Report(
+            seed, run.calls(), run.ended, run.faults, run.broken(), run.unrecovered()
+        )
     finally:
         await fleet.close()
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,58 @@
+"""Soaks one after the other, and what is told of them."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from collections.abc import Iterable
+from pathlib import Path
+
+from soak._report import write_report
+from soak.core import Report, soak
+
+__all__ = ["run_soaks"]
+
+_S_PER_MIN = 60.0
+
+
+def run_soaks(
+    seeds: Iterable[int], minutes: float, entries: int, pages: Path | None
+) -> bool:
+    """Run a soak for each seed.
+
+    Args:
+        seeds: Each decides the faults of one run.
+        minutes: How long faults come, in each run.
+        entries: How many entries.
+        pages: Folder for a page about each run, or nothing for failed ones only.
+
+    Returns:
+        Whether all passed.
+    """
+    # A list, so that one that fails doesn't keep the others from being run.
+    return all([_passed(seed, minutes, entries, pages) for seed in seeds])
+
+
+def _passed(seed: int, minutes: float, entries: int, pages: Path | None) -> bool:
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    report = asyncio.run(soak(seed, minutes * _S_PER_MIN, folder, entries))
+    _print(report)
+    passed = not report.broken and not report.unrecovered
+    if not passed:
+        write_report(report, folder, folder / "report.html")
+        print(f"  logs and report.html in {folder}")
+    if pages is not None:
+        pages.mkdir(parents=True, exist_ok=True)
+        write_report(report, folder, pages / f"soak-{seed}.html")
+    return passed
+
+
+def _print(report: Report) -> None:
+    calls = sum(report.calls.values())
+    print(f"seed {report.seed}: {calls} calls, {len(report.faults)} faults", flush=True)
+    for (kind, status), count in sorted(report.calls.items()):
+        print(f"  {kind} {status}: {count}")
+    for broken in report.broken:
+        print(f"  BROKEN {broken.request_id}: {broken.what}")
+    if report.unrecovered:
+        print(f"  NOT RECOVERED {report.unrecovered}")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -1,17 +1,19 @@
 """A short seeded soak: real entry processes through faults, no promise broken.
 
-Longer ones are run by hand: ``python -m soak SEED...``. How much is served again after
-the faults is judged there only, since it depends on the speed of the machine.
+Longer ones are run by hand: ``gentianhoist soak --seed N``. How much is served again
+after the faults is judged there only, since it depends on the speed of the machine.
 """
 
 import asyncio
 import signal
+from collections import Counter
 
 import pytest
 
-from soak._fleet import EntryProcess
+from soak._fleet import EntryProcess, _free_port
 from soak._proxy import FaultyProxy
-from soak.core import soak
+from soak._report import timeline, write_report
+from soak.core import BrokenPromise, Fault, Report, soak
 
 
 class TestSoak:
@@ -23,7 +25,67 @@
         assert sum(report.calls.values()) > 20
 
 
+class TestReport:
+    def _report(self) -> Report:
+        return Report(
+            7,
+            Counter({("PRESS", 200): 2}),
+            [(100.0, True), (101.2, False)],
+            [Fault(90.0, "link 1 reset"), Fault(100.4, "entry <2> SIGKILL")],
+            [BrokenPromise("q7", "ran 2 times")],
+            "",
+        )
+
+    def test_timeline_joins_all_processes_and_faults(self, tmp_path):
+        line = '{"time_s":%s,"decision":"%s","request_id":"q7"}\n'
+        (tmp_path / "entry-0.log").write_text(line % (100.6, "second"))
+        (tmp_path / "entry-1.log").write_text(
+            line % (100.2, "first") + '{"time_s":100.3,"request_id":"q77"}\n'
+        )
+        lines = timeline(self._report(), "q7", tmp_path)
+        assert [line.split(" ")[0] for line in lines] == [
+            "100.200",
+            "100.400",
+            "100.600",
+        ]
+        assert "SIGKILL" in lines[1]
+
+    def test_page_shows_plot_and_broken_promises(self, tmp_path):
+        write_report(self._report(), tmp_path, tmp_path / "page.html")
+        page = (tmp_path / "page.html").read_text()
+        assert "<svg" in page
+        assert "q7: ran 2 times" in page
+        assert "entry &lt;2&gt; SIGKILL" in page
+
+
 class TestEntryProcess:
+    def test_no_two_ports_are_the_same(self, tmp_path, monkeypatch):
+        """Seed 3111: an entry had the port on which all entries speak for callers."""
+
+        class Probe:
+            ports = iter([5000, 5000, 5000, 5001, 5001, 5002, 5003])
+
+            def __enter__(self):
+                return self
+
+            def __exit__(self, *error) -> None:
+                return None
+
+            def bind(self, address) -> None:
+                return None
+
+            def getsockname(self):
+                return ("127.0.1.1", next(self.ports))
+
+        monkeypatch.setattr("soak._fleet.socket.socket", Probe)
+        monkeypatch.setattr("soak._fleet._ports_given", set())
+        peers_port = _free_port()
+        EntryProcess(0, 1, peers_port, tmp_path)
+        text = (tmp_path / "entry-0.conf").read_text()
+        ports = {"5000,5000", *(f":{port}" for port in (5001, 5002))}
+        assert all(port in text for port in ports)
+        assert "metrics_port=5003" in text
+
     def test_stays_paused_through_other_signals(self, tmp_path):
         """Seed 905: a SIGHUP to a paused entry left it paused for good."""
         sent = []
@@ -34,7 +96,7 @@
             def send_signal(self, number) -> None:
                 sent.append(number)
 
-        entry = EntryProcess(0, 1, tmp_path)
+        entry = EntryProcess(0, 1, 2, tmp_path)
         entry._process = Process()
         entry.signal(signal.SIGSTOP)
         entry.signal(signal.SIGHUP)
