Give up an engine that lost power before its gang's memory is overdue

Its entry waited three times the expected reading, 5.9 s, and kept the others' memory for a request that had ended. The order that renews the tickets now tells: if the first engine doesn't answer it twice while another does, the attempt ends. Where no other engine would have time, a live one is no longer given up after 0.75 s either.

--- a/gentianhoist/dispatch/_attempt.py
+++ b/gentianhoist/dispatch/_attempt.py
@@ -169,6 +169,11 @@
             self._complete = True
         return data
 
+    def break_off(self) -> None:
+        """End the connection; whoever waits for the answer gets `AttemptFailed`."""
+        if self._lease is not None:
+            self._connection.close()
+
     def close(self) -> None:
         """Give the connection back, or end it if the answer isn't complete."""
         if self._lease is None:
--- a/gentianhoist/dispatch/_placing.py
+++ b/gentianhoist/dispatch/_placing.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from gentianhoist.dispatch._ports import Reservation
 from gentianhoist.dispatch._request import Request
 from gentianhoist.exceptions import ErrorKind, HoistError
 from gentianhoist.fleet import BackendServer, EngineProfile
@@ -59,6 +61,8 @@
         own_ticket: Ticket at the first engine, if it has one.
         holders: Engines that hold a ticket of it, or may have been given one.
         renewal: Renews the tickets.
+        first_is_gone: Called when the engine that answers is found to be gone, while
+            the request may go on at another.
     """
 
     id: str
@@ -68,6 +72,7 @@
     own_ticket: str | None = None
     holders: list[BackendServer] = field(default_factory=list)
     renewal: asyncio.Task[None] | None = None
+    first_is_gone: Callable[[], None] | None = None
 
 
 class Placer:
@@ -273,24 +278,23 @@
         hold_s = self._state.policy.hold_s
         engines = [placement.first, *placement.helpers]
         reserved.holders = engines
-        granted = await asyncio.gather(
+        results = await asyncio.gather(
             *(
                 self._dispatcher.orders.reserve(server, reserved.id, tokens, hold_s)
                 for server in engines
             )
         )
-        for server, held in zip(engines, granted, strict=True):
-            if not held:
-                self._request.avoid.add(server.id)
-        if not all(granted):
+        without = [
+            server.id
+            for server, result in zip(engines, results, strict=True)
+            if result is not Reservation.HELD
+        ]
+        if without:
+            self._request.avoid.update(without)
             self._dispatcher.log.record(
                 "reservation_refused",
                 self._request.call.id,
-                servers=[
-                    server.id
-                    for server, held in zip(engines, granted, strict=True)
-                    if not held
-                ],
+                servers=without,
                 tokens=tokens,
             )
             return False
@@ -300,15 +304,29 @@
         return True
 
     async def _renew(self, reserved: Reserved, tokens: int) -> None:
+        """Renew the tickets; an engine that lost power shows by not answering."""
         hold_s = self._state.policy.hold_s
+        orders = self._dispatcher.orders
         while True:
             await asyncio.sleep(hold_s * _RENEW_RATIO)
-            await asyncio.gather(
+            results = await asyncio.gather(
                 *(
-                    self._dispatcher.orders.reserve(server, reserved.id, tokens, hold_s)
+                    orders.reserve(server, reserved.id, tokens, hold_s)
                     for server in reserved.holders
                 )
             )
+            if results[0] is not Reservation.GONE or Reservation.HELD not in results:
+                # Where none answers, it is this entry that is cut off.
+                continue
+            server = reserved.holders[0]
+            again = await orders.reserve(server, reserved.id, tokens, hold_s)
+            if again is not Reservation.GONE:
+                continue
+            self._dispatcher.log.record(
+                "first_engine_gone", self._request.call.id, server=server.id
+            )
+            if reserved.first_is_gone is not None:
+                reserved.first_is_gone()
 
     def _demand(self) -> Demand:
         call = self._request.call
--- a/gentianhoist/dispatch/_ports.py
+++ b/gentianhoist/dispatch/_ports.py
@@ -113,13 +113,21 @@
         ...
 
 
+class Reservation(Enum):
+    """What became of an order to reserve memory."""
+
+    HELD = "the engine holds it"
+    REFUSED = "the engine has no room, or could not be asked now"
+    GONE = "the engine doesn't answer, or another server has its address"
+
+
 class EngineOrders(Protocol):
     """Reservations of KV memory."""
 
     async def reserve(
         self, server: BackendServer, ticket: str, tokens: int, hold_s: float
-    ) -> bool:
-        """Reserve or renew; whether the memory is held."""
+    ) -> Reservation:
+        """Reserve or renew memory."""
         ...
 
     async def release(self, server: BackendServer, ticket: str) -> None:
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -81,6 +81,8 @@
             placement.first, options, max_idle_s=self._max_idle_s()
         )
         sent_s = self._loop.time()
+        if self._request.idempotent:
+            reserved.first_is_gone = attempt.break_off
         try:
             until_s = self._first_event_until_s(reserved)
             answer = await self.answer(attempt, until_s, _MIN_FIRST_EVENT_S)
@@ -88,6 +90,7 @@
                 return await self._pass_on_failure(attempt, answer)
             await self._relay(attempt, answer, reserved, sent_s, until_s)
         finally:
+            reserved.first_is_gone = None
             self.finish(attempt)
         self._responder.end()
         self._log_served(reserved)
@@ -107,9 +110,12 @@
         expected_s = reserved.placement.first_event_s
         patience_s = max(_MIN_FIRST_EVENT_S, ratio * expected_s + _FIRST_EVENT_EXTRA_S)
         now_s = self._loop.time()
-        # Another engine must still have time before the caller leaves in silence.
+        until_s = now_s + patience_s
+        # Another engine must still have time before the caller leaves in silence, and
+        # this one as long as is expected of it.
         last_s = request.silence_ends_s - expected_s - _SECOND_TRY_S
-        until_s = min(now_s + patience_s, max(last_s, now_s + _MIN_PAUSE_S))
+        if last_s > now_s + max(_MIN_PAUSE_S, expected_s):
+            until_s = min(until_s, last_s)
         return min(request.end_s, until_s)
 
     async def _relay(
--- a/gentianhoist/http1/__init__.py
+++ b/gentianhoist/http1/__init__.py
@@ -1,6 +1,11 @@
 """HTTP/1.1 on both sides of an entry, with every byte accounted for."""
 
-from gentianhoist.http1._client import ClientConnection, ConnectionFailed, ResponseHead
+from gentianhoist.http1._client import (
+    ClientConnection,
+    ConnectionFailed,
+    PoolExhausted,
+    ResponseHead,
+)
 from gentianhoist.http1._exchange import WholeAnswer, exchange
 from gentianhoist.http1._pool import ConnectionPool, Lease, PoolLimits
 from gentianhoist.http1._responder import CallerRequest, Responder
@@ -15,6 +20,7 @@
     "Headers",
     "HttpServer",
     "Lease",
+    "PoolExhausted",
     "PoolLimits",
     "RequestLimits",
     "Responder",
--- a/gentianhoist/http1/_client.py
+++ b/gentianhoist/http1/_client.py
@@ -48,6 +48,13 @@
         self.sent = sent
 
 
+class PoolExhausted(ConnectionFailed):
+    """No more connections may be opened to the server."""
+
+    def __init__(self) -> None:
+        super().__init__("too many connections are open", sent=False)
+
+
 class _Head(NamedTuple):
     head: ResponseHead
 
--- a/gentianhoist/http1/_pool.py
+++ b/gentianhoist/http1/_pool.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import NamedTuple
 
-from gentianhoist.http1._client import ClientConnection, ConnectionFailed
+from gentianhoist.http1._client import ClientConnection, PoolExhausted
 
 __all__ = ["ConnectionPool", "Lease", "PoolLimits"]
 
@@ -74,7 +74,7 @@
         if kept is not None:
             return Lease(kept, fresh=False)
         if self._open >= self._limits.open_connections:
-            raise ConnectionFailed("too many connections are open", sent=False)
+            raise PoolExhausted
         self._open += 1
         try:
             connection = await ClientConnection.open(
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -13,6 +13,7 @@
     Dispatcher,
     DispatchPolicy,
     DispatchState,
+    Reservation,
     SendOptions,
     ServerAnswer,
 )
@@ -52,6 +53,8 @@
     RUN_LATE = "runs it after a second and says nothing"
     SLOW = "runs it and answers after a while"
     FORGET_RESUMING = "runs it from the start and answers"
+    READ_LONG = "runs it and answers after some seconds"
+    DIE = "loses power with the request, and says nothing any more"
 
 
 @dataclass
@@ -62,11 +65,13 @@
         script: What the next sends meet.
         runs: Servers that ran the request.
         tickets: Memory reserved, by server and ticket.
+        dead: Servers without power, each with the time since when.
     """
 
     script: Iterator[Does]
     runs: list[str] = field(default_factory=list)
     tickets: dict[tuple[str, str], int] = field(default_factory=dict)
+    dead: dict[str, float] = field(default_factory=dict)
     sends: int = 0
 
 
@@ -80,11 +85,12 @@
         self._heads = 0
         self._parts = [b"id: 1\n\n", b"id: 2\n\n", b""]
         self._closed = False
+        self._end = asyncio.Event()
         self._ready_s = 0.0
 
     def send(self, data: bytes, *, head_only: bool = False) -> None:
         self._world.sends += 1
-        work_s = 1.4 if self._does is Does.SLOW else 0.01
+        work_s = {Does.SLOW: 1.4, Does.READ_LONG: 4.0}.get(self._does, 0.01)
         self._ready_s = asyncio.get_running_loop().time() + work_s
         if data and self._does is not Does.FORGET_RESUMING:
             self._parts = self._parts[int(data) :]
@@ -97,9 +103,12 @@
             Does.OTHER_FIRST,
             Does.CUT,
             Does.SLOW,
+            Does.READ_LONG,
             Does.FORGET_RESUMING,
         }:
             self._world.runs.append(self._server.id)
+        if self._does is Does.DIE:
+            self._world.dead[self._server.id] = asyncio.get_running_loop().time()
         if self._does is Does.RUN_LATE:
             loop = asyncio.get_running_loop()
             loop.call_later(1.0, self._world.runs.append, self._server.id)
@@ -108,8 +117,9 @@
         match self._does:
             case Does.RESET_BEFORE | Does.RESET_AFTER:
                 raise ConnectionFailed("reset", sent=True)
-            case Does.SILENT | Does.SILENT_RUN | Does.RUN_LATE:
-                await asyncio.sleep(3600.0)
+            case Does.SILENT | Does.SILENT_RUN | Does.RUN_LATE | Does.DIE:
+                await self._end.wait()
+                raise ConnectionFailed("closed by us", sent=True)
             case Does.OTHER_FIRST if self._heads == 0:
                 self._heads += 1
                 return ResponseHead(200, [(b"for", b"another")])
@@ -128,6 +138,7 @@
 
     def close(self) -> None:
         self._closed = True
+        self._end.set()
 
     @property
     def usable(self) -> bool:
@@ -182,10 +193,13 @@
 
     async def reserve(
         self, server: BackendServer, ticket: str, tokens: int, hold_s: float
-    ) -> bool:
+    ) -> Reservation:
+        if server.id in self._world.dead:
+            await asyncio.sleep(0.6)
+            return Reservation.GONE
         self._world.tickets[server.id, ticket] = tokens
         await asyncio.sleep(0.1)
-        return True
+        return Reservation.HELD
 
     async def release(self, server: BackendServer, ticket: str) -> None:
         self._world.tickets.pop((server.id, ticket), None)
@@ -225,7 +239,13 @@
 
 
 def configuration(
-    repeatable: Repeatable, *, streaming: bool, version: int = 1, group: str = "g"
+    repeatable: Repeatable,
+    *,
+    streaming: bool,
+    version: int = 1,
+    group: str = "g",
+    timeout_s: float = 4.0,
+    goal_s: float = 0.2,
 ) -> RoutingConfiguration:
     route = Route(
         "r",
@@ -234,10 +254,10 @@
         (WeightedGroup(group, 1.0),),
         repeatable,
         streaming,
-        timeout_s=4.0,
-        goal_s=0.2,
+        timeout_s=timeout_s,
+        goal_s=goal_s,
         pause_goal_s=0.25,
-        silence_limit_s=2.0,
+        silence_limit_s=timeout_s / 2,
         priority=1,
         max_servers=2,
         anonymous=False,
@@ -256,7 +276,13 @@
     )
 
 
-def call(loop: InstantLoop, *, prompt_tokens: int = 0, key: str = "key") -> Call:
+def call(
+    loop: InstantLoop,
+    *,
+    prompt_tokens: int = 0,
+    key: str = "key",
+    patience_s: float = 3.0,
+) -> Call:
     return Call(
         "id-1",
         b"POST",
@@ -267,7 +293,7 @@
         b"{}",
         key,
         loop.time(),
-        3.0,
+        patience_s,
         prompt_tokens,
         100 if prompt_tokens else 0,
     )
--- /dev/null
+++ b/tests/platform_adapter/test_orders.py
@@ -0,0 +1,87 @@
+"""Orders to engines: what became of them, and connections that were dropped."""
+
+import asyncio
+
+import pytest
+
+from gentianhoist.dispatch import DispatchPolicy, DispatchState, Reservation
+from gentianhoist.fleet import BackendServer, Repeatable
+from gentianhoist_platform.servers import PlatformOrders
+from tests.dispatch.fakes import configuration
+
+DROP = 0
+
+
+class Engine:
+    """Answers orders with the statuses of a script; `DROP` ends the connection."""
+
+    def __init__(self, *script: int) -> None:
+        self._script = list(script)
+        self._server: asyncio.Server | None = None
+        self.connections = 0
+
+    async def start(self) -> BackendServer:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return BackendServer("engine-1", "g", "127.0.0.1", port, "z", 8)
+
+    def close(self) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        while True:
+            try:
+                await reader.readuntil(b"}")
+            except asyncio.IncompleteReadError:
+                break
+            status = self._script.pop(0)
+            if status == DROP:
+                break
+            writer.write(b"HTTP/1.1 %d X\r\nContent-Length: 2\r\n\r\n{}" % status)
+        writer.close()
+
+
+@pytest.fixture
+def orders():
+    state = DispatchState(DispatchPolicy(entries=1), seed=1)
+    state.replica.take_newer(configuration(Repeatable.IDEMPOTENT, streaming=True))
+    yield PlatformOrders(state)
+    state.close()
+
+
+async def _reserve(orders, *script: int, times: int = 1) -> list[Reservation]:
+    engine = Engine(*script)
+    server = await engine.start()
+    results = [await orders.reserve(server, "t", 10, 3.0) for _ in range(times)]
+    engine.close()
+    return results
+
+
+class TestReserve:
+    @pytest.mark.parametrize(
+        ("status", "result"),
+        [
+            (200, Reservation.HELD),
+            (409, Reservation.REFUSED),
+            (400, Reservation.REFUSED),
+            (421, Reservation.GONE),
+        ],
+    )
+    async def test_status(self, orders, status, result):
+        assert await _reserve(orders, status) == [result]
+
+    async def test_engine_that_does_not_listen(self, orders):
+        engine = Engine()
+        server = await engine.start()
+        engine.close()
+        assert await orders.reserve(server, "t", 10, 3.0) is Reservation.GONE
+
+    async def test_dropped_idle_connection_is_no_refusal(self, orders):
+        """An engine may drop an idle connection, and resets what is sent there next."""
+        results = await _reserve(orders, 200, DROP, 200, times=2)
+        assert results == [Reservation.HELD, Reservation.HELD]
+
+    async def test_engine_that_drops_every_connection(self, orders):
+        assert await _reserve(orders, DROP, DROP) == [Reservation.GONE]
