Listen to callers before an entry has loaded

Cause: after a loss of power of all entries, callers that came while processes loaded met no listener, and used up their one repeat. The role now opens the callers' socket first, with nothing but the standard library's sockets, and loads the rest then; callers wait in the queue for some tenths of a second.

--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -9,6 +9,7 @@
 import asyncio
 import os
 import secrets
+import socket
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple, Protocol
 
@@ -198,8 +199,12 @@
             and state.directory.known
         )
 
-    async def start(self) -> None:
-        """Start to follow the store, then to listen."""
+    async def start(self, listener: socket.socket | None = None) -> None:
+        """Start to follow the store, then to serve.
+
+        Args:
+            listener: A socket that listens to callers already.
+        """
         settings = self._settings
         self._hold_until_s = asyncio.get_running_loop().time() + _START_HOLD_S
         await self._peers.start()
@@ -208,7 +213,7 @@
             follower.start()
         self._registry.start()
         await self._readiness.start(settings.ready_host, settings.ready_port)
-        await self._callers.start(settings.host, settings.callers_port)
+        await self._callers.start(settings.host, settings.callers_port, listener)
         await self._exposition.start(settings.host, settings.metrics_port)
         self._ticker = asyncio.get_running_loop().create_task(self._tick())
         self._log.record("started", pid=os.getpid())
--- a/gentianhoist/http1/_server.py
+++ b/gentianhoist/http1/_server.py
@@ -289,11 +289,29 @@
         """Connections with a request in progress."""
         return sum(not connection.idle for connection in self.connections)
 
-    async def start(self, host: str, port: int) -> int:
-        """Listen; returns the port."""
-        self._listener = await asyncio.get_running_loop().create_server(
-            lambda: _Connection(self), host, port, backlog=_BACKLOG, reuse_address=True
-        )
+    async def start(
+        self, host: str, port: int, listener: socket.socket | None = None
+    ) -> int:
+        """Listen; returns the port.
+
+        Args:
+            host: IP number.
+            port: TCP port, 0 for any.
+            listener: A socket that listens there already.
+        """
+        loop = asyncio.get_running_loop()
+        if listener is not None:
+            self._listener = await loop.create_server(
+                lambda: _Connection(self), sock=listener, backlog=_BACKLOG
+            )
+        else:
+            self._listener = await loop.create_server(
+                lambda: _Connection(self),
+                host,
+                port,
+                backlog=_BACKLOG,
+                reuse_address=True,
+            )
         return int(self._listener.sockets[0].getsockname()[1])
 
     def leave(self) -> None:
--- /dev/null
+++ b/tests/platform_adapter/test_start.py
@@ -0,0 +1,75 @@
+"""Callers that come while an entry loads wait; they are not turned away."""
+
+import asyncio
+import subprocess
+import sys
+
+import pytest
+
+from gentianhoist.gateway import Gateway
+from gentianhoist.telemetry import DecisionLog
+from gentianhoist_platform.entry import PlatformBoundary
+from gentianhoist_platform.settings import gateway_settings, load_settings
+from gentianhoist_platform.start import listen_early
+
+
+@pytest.fixture
+def path(tmp_path, unused_tcp_port_factory):
+    ports = [unused_tcp_port_factory() for _ in range(5)]
+    path = tmp_path / "node.conf"
+    path.write_text(
+        "node_name=edge-1\nip=127.0.0.1\nzone=z1\n"
+        f"listen.frontend=127.0.0.1:{ports[0]}\n"
+        f"listen.ready=127.0.0.1:{ports[1]}\n"
+        f"internal_ports={ports[2]},{ports[2]}\n"
+        f"platform.address=127.0.0.1:{ports[3]}\n"
+        f"metrics_port={ports[4]}\n"
+    )
+    return path
+
+
+async def test_a_request_sent_before_the_start_is_answered(path):
+    listener = listen_early(str(path))
+    reader, writer = await asyncio.open_connection(*listener.getsockname())
+    writer.write(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    settings = load_settings(path, {})
+    gateway = Gateway(
+        gateway_settings(settings), PlatformBoundary(settings), DecisionLog({})
+    )
+    await gateway.start(listener)
+    answer = await asyncio.wait_for(reader.read(), 3.0)
+    # It lacks the platform's headers; what counts is that it is answered.
+    assert answer.startswith(b"HTTP/1.1 400 ")
+    writer.close()
+    await gateway.close()
+
+
+@pytest.mark.parametrize(
+    "line", ["", "listen.frontend=127.0.0.1", "listen.frontend=127.0.0.1:x"]
+)
+def test_wrong_address_is_left_to_the_check(path, line, capsys):
+    lines = path.read_text().splitlines()
+    path.write_text("\n".join([lines[0], line, *lines[4:]]))
+    assert listen_early(str(path)) is None
+    assert "not listening" in capsys.readouterr().err
+
+
+def test_taken_address_is_left_to_the_start(path):
+    first = listen_early(str(path))
+    assert listen_early(str(path)) is None
+    first.close()
+
+
+def test_listening_loads_nothing_else():
+    code = (
+        "import sys, gentianhoist_platform.start;"
+        "print('asyncio' in sys.modules, 'gentianhoist' in sys.modules)"
+    )
+    done = subprocess.run(
+        [sys.executable, "-S", "-c", code],
+        capture_output=True,
+        text=True,
+        check=True,
+        env={"PYTHONPATH": "platform"},
+    )
+    assert done.stdout.split() == ["False", "False"]
