Hold requests a quarter of their time while a new entry has no configuration

Nobody can tell when the store answers again; a caller with ten seconds is better served late. Test fails first.

--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -43,6 +43,8 @@
 _TICK_S = 0.25
 # How long requests are held at the start until the store has been read.
 _START_HOLD_S = 0.4
+# Part of a caller's patience for which its request is held until then.
+_HOLD_RATIO = 0.25
 _END_MARGIN_S = 0.6
 _POLL_S = 0.05
 
@@ -283,7 +285,6 @@
         ]
 
     async def _serve(self, request: CallerRequest, responder: Responder) -> None:
-        await self._wait_until_known()
         try:
             call = self._boundary.decode_call(request)
         except HoistError as error:
@@ -291,18 +292,20 @@
             self._log.record("refused", reason=error.message, field=error.field)
             answer_error(responder, "", error)
             return
+        await self._wait_until_known(call)
         await self._dispatcher.handle(call, responder)
 
-    async def _wait_until_known(self) -> None:
-        """Hold requests of the first moments until the store has been read."""
+    async def _wait_until_known(self, call: Call) -> None:
+        """Hold a request until the store has been read for the first time."""
         if self._known.is_set():
             return
-        left_s = self._hold_until_s - asyncio.get_running_loop().time()
+        patience_s = call.patience_s or 0.0
+        until_s = call.received_s + _HOLD_RATIO * patience_s
         try:
-            async with asyncio.timeout(max(0.0, left_s)):
+            async with asyncio.timeout_at(max(self._hold_until_s, until_s)):
                 await self._known.wait()
         except TimeoutError:
-            self._log.record("serving_without_store")
+            self._log.record("serving_without_store", call.id)
 
     def _note_known(self) -> None:
         if self._state.replica.current is not None and self._state.directory.known:
--- a/tests/platform_adapter/test_start.py
+++ b/tests/platform_adapter/test_start.py
@@ -10,6 +10,11 @@
 from gentianhoist.telemetry import DecisionLog
 from gentianhoist_platform.entry import PlatformBoundary
 from gentianhoist_platform.settings import gateway_settings, load_settings
+from gentianhoist_platform.standins import (
+    ServerStandin,
+    StoreStandin,
+    operator_configuration,
+)
 from gentianhoist_platform.start import listen_early
 
 
@@ -73,3 +78,42 @@
         env={"PYTHONPATH": "platform"},
     )
     assert done.stdout.split() == ["False", "False"]
+
+
+class TestStartDuringAnOutageOfTheStore:
+    """All entries were killed, and the store says nothing for some more seconds."""
+
+    async def _ask(self, path, deadline_ms: int, store_after_s: float) -> bytes:
+        settings = load_settings(path, {})
+        gateway = Gateway(
+            gateway_settings(settings), PlatformBoundary(settings), DecisionLog({})
+        )
+        await gateway.start()
+        reader, writer = await asyncio.open_connection(*settings.callers)
+        writer.write(
+            b"POST /look/x HTTP/1.1\r\nHost: a.example\r\nConnection: close\r\n"
+            b"Attempt-Id: a1\r\nKey: key-1\r\nContent-Length: 2\r\n"
+            b"Deadline-Ms: %d\r\n\r\n{}" % deadline_ms
+        )
+        asking = asyncio.ensure_future(reader.read())
+        await asyncio.wait([asking], timeout=store_after_s)
+        store = StoreStandin()
+        store.put("op", "config", operator_configuration(7))
+        desk = ServerStandin("d0", "desk", "z1", store, streaming=False)
+        await desk.start()
+        await store.start(settings.store.port)
+        answer = await asking
+        writer.close()
+        await gateway.close()
+        await desk.close()
+        await store.close()
+        return answer
+
+    async def test_a_patient_caller_is_served_when_it_is_back(self, path):
+        answer = await self._ask(path, deadline_ms=10_000, store_after_s=0.8)
+        assert answer.startswith(b"HTTP/1.1 200 ")
+
+    async def test_an_impatient_one_is_told_to_come_back(self, path):
+        answer = await self._ask(path, deadline_ms=600, store_after_s=0.8)
+        assert answer.startswith(b"HTTP/1.1 503 ")
+        assert b"Retry-After" in answer
