--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -160,3 +160,39 @@
             await pool.acquire()
         assert not caught.value.sent
         assert pool.open_connections == 0
+
+
+class TestAnswerBeforeTheBodyWasRead:
+    """A server may answer when it has read the head, and read the body later."""
+
+    BODY = b"b" * 3_000_000
+
+    async def test_next_request_comes_after_the_whole_body(self):
+        read: list[bytes] = []
+        go_on = asyncio.Event()
+
+        async def serve(reader, writer) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(OK)
+            await go_on.wait()
+            read.append(await reader.readexactly(len(self.BODY)))
+            read.append(await reader.readuntil(b"\r\n\r\n"))
+            writer.write(OK)
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool("127.0.0.1", port, PoolLimits())
+        request = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+        lease = await pool.acquire()
+        lease.connection.send(request % len(self.BODY) + self.BODY)
+        assert (await lease.connection.head()).status == 200
+        while await lease.connection.data():
+            continue
+        pool.release(lease.connection)
+        asyncio.get_running_loop().call_later(0.05, go_on.set)
+        status, body, _ = await _ask(pool)
+        assert (status, body) == (200, b"ok")
+        assert read == [self.BODY, REQUEST]
+        pool.close()
+        server.close()
