Keep following a table when another entry's rows can't be taken

Cause (found by reading the change again): rows of another entry were taken inside the handler of the store's failure, where the loop's own guard does not reach. A row that can't be taken there would have ended the follower for good, and its entry would have kept an old configuration or directory without a word. The failure is logged now, the version is noted only after the rows were taken, and the store is asked on.

--- a/gentianhoist/fleet/_follower.py
+++ b/gentianhoist/fleet/_follower.py
@@ -145,7 +145,7 @@
                 self._version = None
                 pause_s = self._pause_after_failure_s()
                 if pause_s:
-                    await self._ask_others()
+                    await self._try_others()
             except Exception as error:
                 # Whatever took the view down, a table that nobody follows is worse.
                 _log.exception("view not taken", extra={"table": self._name})
@@ -179,6 +179,13 @@
         policy = self._policy
         return max(policy.reread_s, len(self._copy) / policy.reread_rows_per_s)
 
+    async def _try_others(self) -> None:
+        try:
+            await self._ask_others()
+        except Exception:
+            # The store is asked again in any case.
+            _log.exception("rows not taken", extra={"table": self._name})
+
     async def _ask_others(self) -> None:
         """Take what another entry has read since; the store may refuse only some."""
         page = await self._others.newer(self._name, self._copy.version)
@@ -194,8 +201,8 @@
             version=page.version,
             before=self._copy.version,
         )
-        self._copy.replace(page)
         self._replace(page.rows)
+        self._copy.replace(page)
 
     def _pause_after_failure_s(self) -> float:
         """Nothing after the first: the answer may be all that was lost."""
--- a/tests/fleet/test_copies.py
+++ b/tests/fleet/test_copies.py
@@ -103,3 +103,31 @@
     copy.replace(FeedPage([], 5))
     assert copy.version == 6
     assert len(copy.page().rows) == 2
+
+
+class TestRowsOfAnotherEntryThatCanNotBeTaken:
+    def test_the_table_is_followed_all_the_same(self, loop):
+        taken: list[bytes] = []
+
+        def take(rows) -> None:
+            if any(row.value == b"9" for row in rows):
+                raise ValueError("unreadable")
+            taken.extend(row.value for row in rows)
+
+        async def run() -> None:
+            follower = TableFollower(
+                "t",
+                TurnsAway(6.0),
+                FollowPolicy(wait_s=0.5),
+                take,
+                take,
+                loop,
+                DecisionLog({}),
+                others=Others(9, 14),
+            )
+            follower.start()
+            await asyncio.sleep(7.0)
+            await follower.close()
+
+        loop.run(run())
+        assert taken[:3] == [b"5", b"14", b"30"]
