Log a prompt's shared segments, cold engines and how far a lost stream had come

Cause: the logs of the engine crashes can't tell their hypotheses apart (content, load, coincidence): neither the parts of a prompt, nor the state of a stream at its loss, nor an engine's cold start is in them. No decision uses them.

--- a/gentianhoist/dispatch/_attempt.py
+++ b/gentianhoist/dispatch/_attempt.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 from enum import Enum
 
 from gentianhoist.dispatch._interfaces import (
@@ -20,7 +21,7 @@
     ConnectionPool,
 )
 
-__all__ = ["Attempt", "AttemptFailed", "Execution"]
+__all__ = ["Attempt", "AttemptFailed", "Execution", "StreamProgress"]
 
 
 class Execution(Enum):
@@ -63,6 +64,29 @@
         self.counts_against_server = counts_against_server
 
 
+@dataclass
+class StreamProgress:
+    """How far the stream of one attempt has come.
+
+    Attributes:
+        events: Number of events received.
+        first_event_s: Time of the first event on the event loop's clock, None before.
+    """
+
+    events: int = 0
+    first_event_s: float | None = None
+
+    def record_event(self, now_s: float) -> None:
+        """Record one event at the current time of the event loop's clock."""
+        self.events += 1
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+
+    def writing_s(self, now_s: float) -> float:
+        """Return the seconds since the first event; 0 before it."""
+        return 0.0 if self.first_event_s is None else now_s - self.first_event_s
+
+
 class Attempt:
     """One attempt at a request, on one connection to one backend server.
 
--- a/gentianhoist/dispatch/_interfaces.py
+++ b/gentianhoist/dispatch/_interfaces.py
@@ -37,6 +37,8 @@
         expected_output_tokens: Estimated number of output tokens.
         last_event_id: Id of the last event that the caller received, if it resumes a
             stream.
+        shared_segments: Ids of the prompt's segments that other prompts may share, in
+            order. The last segment of a prompt is its own and not among them.
     """
 
     id: str
@@ -52,6 +54,7 @@
     prompt_tokens: int = 0
     expected_output_tokens: int = 0
     last_event_id: bytes | None = None
+    shared_segments: tuple[str, ...] = ()
 
 
 class ResponseValidity(Enum):
--- a/gentianhoist/dispatch/_prompt_placer.py
+++ b/gentianhoist/dispatch/_prompt_placer.py
@@ -47,6 +47,7 @@
 _LONG_PREFILL_RETRY_INTERVAL_S = 0.1
 # Delay before other engines are tried after a refused KV reservation.
 _RESERVE_RETRY_DELAY_S = 0.05
+_MAX_LOGGED_SEGMENTS = 8
 _commitment_numbers = itertools.count()
 
 
@@ -422,6 +423,8 @@
             damage=round(placement.selection_cost, 3),
             tickets_tokens=placement.reserved_kv_tokens_per_engine,
             streams=len(load.decoding),
+            cold=now_s < placement.decode_engine.cold_until_s,
+            segments=self._request.call.shared_segments[:_MAX_LOGGED_SEGMENTS],
             backlog_s=round(load.backlog_s(now_s), 4),
             directory_age_s=round(self._state.directory.age_s(now_s), 3),
             configuration=self._request.configuration_version,
--- a/gentianhoist/dispatch/_sender.py
+++ b/gentianhoist/dispatch/_sender.py
@@ -5,7 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from gentianhoist.dispatch._attempt import Attempt, AttemptFailed, Execution
+from gentianhoist.dispatch._attempt import (
+    Attempt,
+    AttemptFailed,
+    Execution,
+    StreamProgress,
+)
 from gentianhoist.dispatch._interfaces import SendOptions, ServerResponse
 from gentianhoist.dispatch._request import Request
 from gentianhoist.exceptions import ErrorKind, HoistError
@@ -119,8 +124,19 @@
         attempt.close()
         self._state.record_finished(attempt.server)
 
-    def record_failure(self, server: BackendServer, failure: AttemptFailed) -> None:
-        """Record a failed attempt in the request, server health, metrics and log."""
+    def record_failure(
+        self,
+        server: BackendServer,
+        failure: AttemptFailed,
+        progress: StreamProgress | None = None,
+    ) -> None:
+        """Record a failed attempt in the request, server health, metrics and log.
+
+        Args:
+            server: The backend server that was addressed.
+            failure: Why the attempt failed.
+            progress: How far the attempt's stream had come, if it has one.
+        """
         now_s = self._dispatcher.clock.monotonic_s()
         request = self._request
         request.excluded_ids.add(server.id)
@@ -145,6 +161,7 @@
             blamed=faulty_server.id if faulty_server else None,
             directory_age_s=round(self._state.directory.age_s(now_s), 3),
             sends=request.sends,
+            **_progress_fields(progress, self._loop.time()),
         )
 
     def try_begin_retry(self, failure: AttemptFailed) -> bool:
@@ -273,3 +290,11 @@
     if failure.no_response:
         return _NO_RESPONSE_WEIGHT
     return 1.0
+
+
+def _progress_fields(
+    progress: StreamProgress | None, now_s: float
+) -> dict[str, int | float]:
+    if progress is None:
+        return {}
+    return {"events": progress.events, "writing_s": round(progress.writing_s(now_s), 4)}
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -5,7 +5,12 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from gentianhoist.dispatch._attempt import Attempt, AttemptFailed, Execution
+from gentianhoist.dispatch._attempt import (
+    Attempt,
+    AttemptFailed,
+    Execution,
+    StreamProgress,
+)
 from gentianhoist.dispatch._events import EventReader, StreamEvent
 from gentianhoist.dispatch._interfaces import SendOptions, ServerResponse
 from gentianhoist.dispatch._prompt_placer import PromptPlacer, ReservedPlacement
@@ -43,6 +48,7 @@
         self._last_event_id = request.call.last_event_id
         self._events_forwarded = 0
         self._longest_pause_s = 0.0
+        self._progress = StreamProgress()
         self._first_event_s: float | None = None
 
     async def run(self) -> str:
@@ -63,7 +69,8 @@
             try:
                 return await self._stream_from(reserved)
             except AttemptFailed as failure:
-                self.record_failure(reserved.placement.decode_engine, failure)
+                engine = reserved.placement.decode_engine
+                self.record_failure(engine, failure, self._progress)
                 if not self.try_begin_retry(failure):
                     return self._end_after_failure(failure)
             finally:
@@ -71,6 +78,7 @@
 
     async def _stream_from(self, reserved: ReservedPlacement) -> str:
         placement = reserved.placement
+        self._progress = StreamProgress()
         options = SendOptions(
             None,
             0.0,
@@ -146,6 +154,7 @@
             except ValueError as error:
                 raise AttemptFailed(Execution.UNKNOWN, str(error)) from error
             for event in events:
+                self._progress.record_event(self._loop.time())
                 if first:
                     first = False
                     self._placer.record_first_event(
