--- a/tests/platform_adapter/conftest.py
+++ b/tests/platform_adapter/conftest.py
@@ -23,14 +23,35 @@
 
 @dataclass
 class Deployment:
-    """Store, backend servers and one entry, all running."""
+    """Store, backend servers and entries, all running.
+
+    Attributes:
+        ports: Ports of every entry: callers, readiness, peers and metrics.
+        gateways: Entries by IP address.
+    """
 
     store: StoreStandin
-    settings: PlatformSettings
-    gateway: Gateway
-    log: DecisionLog
     session: aiohttp.ClientSession
+    ports: list[int]
     servers: dict[str, ServerStandin] = field(default_factory=dict)
+    gateways: dict[str, Gateway] = field(default_factory=dict)
+    settings: PlatformSettings | None = None
+
+    @property
+    def gateway(self) -> Gateway:
+        """The first entry."""
+        return next(iter(self.gateways.values()))
+
+    async def add_entry(self, host: str) -> Gateway:
+        """Start an entry on a loopback address, and wait until it is ready."""
+        self.settings, gateway = await _start_entry(self.store, host, self.ports)
+        self.gateways[host] = gateway
+        await self.wait_until(lambda: gateway.ready)
+        return gateway
+
+    async def remove_entry(self, host: str) -> None:
+        """Stop an entry without a drain."""
+        await self.gateways.pop(host).close()
 
     async def add_server(self, id_: str, service: str) -> ServerStandin:
         server = ServerStandin(
@@ -40,12 +61,14 @@
         self.servers[id_] = server
         return server
 
-    async def send(self, path: str, attempt_id: str, **headers: str):
+    async def send(
+        self, path: str, attempt_id: str, entry: str = "127.0.0.1", **headers: str
+    ):
         """Send one POST request; returns status, headers and body.
 
         Header names are given as keywords with underscores instead of hyphens.
         """
-        url = f"http://127.0.0.1:{self.settings.callers.port}{path}"
+        url = f"http://{entry}:{self.ports[0]}{path}"
         sent_headers = {
             "Host": "a.example",
             "Attempt-Id": attempt_id,
@@ -63,38 +86,42 @@
                 await asyncio.sleep(0.02)
 
 
-@pytest.fixture
-async def deployment(unused_tcp_port_factory, session):
-    store = StoreStandin()
-    store_port = await store.start()
-    ports = [unused_tcp_port_factory() for _ in range(4)]
+async def _start_entry(
+    store: StoreStandin, host: str, ports: list[int]
+) -> tuple[PlatformSettings, Gateway]:
     fields = {
-        "node_name": "edge-1",
-        "ip": "127.0.0.1",
+        "node_name": f"edge-{host}",
+        "ip": host,
         "zone": "z1",
-        "listen.frontend": f"127.0.0.1:{ports[0]}",
-        "listen.ready": f"127.0.0.1:{ports[1]}",
+        "listen.frontend": f"{host}:{ports[0]}",
+        "listen.ready": f"{host}:{ports[1]}",
         "internal_ports": f"{ports[2]},{ports[2]}",
-        "platform.address": f"127.0.0.1:{store_port}",
+        "platform.address": f"127.0.0.1:{store.port}",
         "bounds.grace_s": "1.5",
         "metrics_port": str(ports[3]),
     }
     settings = decode_fields(fields, "node.conf")
-    log = DecisionLog({})
     gateway = Gateway(
-        gateway_settings(settings),
-        PlatformAdapter(settings),
-        log,
+        gateway_settings(settings), PlatformAdapter(settings), DecisionLog({})
     )
-    running_deployment = Deployment(store, settings, gateway, log, session)
+    await gateway.start()
+    return settings, gateway
+
+
+@pytest.fixture
+async def deployment(unused_tcp_port_factory, session):
+    store = StoreStandin()
+    await store.start()
+    ports = [unused_tcp_port_factory() for _ in range(4)]
+    running_deployment = Deployment(store, session, ports)
     store.put("op", "config", operator_configuration(7))
     for number in range(2):
         await running_deployment.add_server(f"e{number}", "engines")
         await running_deployment.add_server(f"d{number}", "desk")
-    await gateway.start()
-    await running_deployment.wait_until(lambda: gateway.ready)
+    await running_deployment.add_entry("127.0.0.1")
     yield running_deployment
-    await gateway.close()
+    for gateway in running_deployment.gateways.values():
+        await gateway.close()
     for server in running_deployment.servers.values():
         await server.close()
     await store.close()
