--- a/gentianhoist/dispatch/_attempt.py
+++ b/gentianhoist/dispatch/_attempt.py
@@ -42,6 +42,7 @@
         wrong_server: Whether another server now has the address.
         no_response: Whether the connection could not be opened, or the wait for the
             response or the next event timed out.
+        connection_lost: Whether the connection ended before the response did.
         counts_against_server: Whether the failure counts in the server's health.
     """
 
@@ -53,6 +54,7 @@
         fault_address: str | None = None,
         wrong_server: bool = False,
         no_response: bool = False,
+        connection_lost: bool = False,
         counts_against_server: bool = True,
     ) -> None:
         super().__init__(reason)
@@ -61,6 +63,7 @@
         self.fault_address = fault_address
         self.wrong_server = wrong_server
         self.no_response = no_response
+        self.connection_lost = connection_lost
         self.counts_against_server = counts_against_server
 
 
@@ -172,7 +175,9 @@
                 Execution.UNKNOWN, "no response before the timeout", no_response=True
             ) from None
         except ConnectionFailed as error:
-            raise AttemptFailed(Execution.UNKNOWN, str(error)) from error
+            raise AttemptFailed(
+                Execution.UNKNOWN, str(error), connection_lost=True
+            ) from error
         match response.validity:
             case ResponseValidity.NOT_EXECUTED:
                 raise AttemptFailed(
@@ -207,7 +212,9 @@
         try:
             data = await self._connection.read_data()
         except ConnectionFailed as error:
-            raise AttemptFailed(Execution.UNKNOWN, str(error)) from error
+            raise AttemptFailed(
+                Execution.UNKNOWN, str(error), connection_lost=True
+            ) from error
         if not data:
             self._complete = True
         return data
--- a/gentianhoist/dispatch/_prompt_placer.py
+++ b/gentianhoist/dispatch/_prompt_placer.py
@@ -23,6 +23,7 @@
     place,
     should_wait,
 )
+from gentianhoist.quarantine import refusal_error
 
 if TYPE_CHECKING:
     from gentianhoist.dispatch._sender import Sender
@@ -107,6 +108,7 @@
             HoistError: If no engine has capacity in time.
         """
         while True:
+            self._raise_if_quarantined()
             id_ = f"{self._dispatcher.peers.incarnation}.{next(_commitment_numbers)}"
             reserved = await self._acquire_placement(id_)
             try:
@@ -167,7 +169,7 @@
     async def _place_or_wait(self, id_: str) -> Placement:
         if self._state.queue.can_bypass:
             placement = self._try_place(id_)
-            if not isinstance(placement, UnplacedReason):
+            if isinstance(placement, Placement):
                 return placement
         item = self._queue_item(id_)
         if self._state.queue.is_full:
@@ -184,9 +186,20 @@
         finally:
             self._state.queue.remove(item)
         if isinstance(result, PlacementRefused):
+            self._raise_if_quarantined()
             raise self._refusal_error(result)
         return result
 
+    def _raise_if_quarantined(self) -> None:
+        """Raise the error for the caller if a segment of the prompt is held."""
+        refused = self._sender.quarantine_refusal()
+        if refused is None:
+            return
+        error = refusal_error(refused)
+        if self._request.may_have_run:
+            raise HoistError(ErrorKind.BACKEND_FAILED, error.message)
+        raise error
+
     def _queue_item(self, id_: str) -> QueuedRequest:
         demand = self._demand()
         profile = self._profile()
@@ -217,8 +230,13 @@
         decode_slack_s = self._request.remaining_s(now_s) - self._decode_s(demand)
         return min(disconnect_slack_s, decode_slack_s) - share_prefill_s
 
-    def _try_place(self, id_: str) -> Placement | UnplacedReason:
+    def _try_place(self, id_: str) -> Placement | UnplacedReason | PlacementRefused:
         """Choose engines by their current load and add the commitments."""
+        refused = self._sender.quarantine_refusal()
+        if refused is not None:
+            # The segment was held while the prompt waited in the queue.
+            reason = f"segment {refused.segment} of the prompt is held"
+            return PlacementRefused(reason, refused.retry_after_s)
         now_s = self._dispatcher.clock.monotonic_s()
         demand = self._demand()
         rule = self._state.policy.placement_rule
--- a/gentianhoist/dispatch/_sender.py
+++ b/gentianhoist/dispatch/_sender.py
@@ -16,6 +16,7 @@
 from gentianhoist.exceptions import ErrorKind, HoistError
 from gentianhoist.fleet import BackendServer, ServerGroup
 from gentianhoist.http1 import Responder
+from gentianhoist.quarantine import Refused
 
 if TYPE_CHECKING:
     from gentianhoist.dispatch.core import Dispatcher
@@ -115,7 +116,7 @@
             return self._dispatcher.codec.encode(request.call, server, final)
 
         await attempt.send(
-            encode, lambda: self._refusal_reason(server), max_idle_s=max_idle_s
+            encode, lambda: self.refusal_reason(server), max_idle_s=max_idle_s
         )
         return attempt
 
@@ -234,6 +235,10 @@
             return HoistError(ErrorKind.BACKEND_FAILED, failure.reason)
         return self.no_server_error(failure.reason)
 
+    def quarantine_refusal(self) -> Refused | None:
+        """Why the request may not be sent to any server now, or None."""
+        return None
+
     def no_server_error(self, reason: str) -> HoistError:
         """The error for the caller when no server can be chosen."""
         if self._request.may_have_run:
@@ -244,8 +249,8 @@
             retry_after_s=_RETRY_AFTER_S * (0.5 + self._state.rng.random()),
         )
 
-    def _refusal_reason(self, server: BackendServer) -> str | None:
-        """Why the request may not be sent to this server at this moment."""
+    def refusal_reason(self, server: BackendServer) -> str | None:
+        """Why the request may not be sent to this server at this moment, or None."""
         reason = self._dispatcher.recheck_configuration(self._request)
         if reason is not None:
             return reason
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -17,7 +17,9 @@
 from gentianhoist.dispatch._request import Request
 from gentianhoist.dispatch._sender import Sender
 from gentianhoist.exceptions import HoistError
+from gentianhoist.fleet import BackendServer
 from gentianhoist.http1 import Responder
+from gentianhoist.quarantine import Refused, TrialResult
 
 if TYPE_CHECKING:
     from gentianhoist.dispatch.core import Dispatcher
@@ -29,6 +31,9 @@
 _FIRST_EVENT_MARGIN_S = 0.3
 _MIN_STALL_TIMEOUT_S = 0.75
 _RETRY_MARGIN_S = 0.4
+# A prompt that crashes its engine does so as soon as the answer begins. A stream that
+# has been written for longer is only a victim of the crash.
+_MAX_SUSPECT_WRITING_S = 0.25
 
 
 class StreamRelay(Sender):
@@ -49,6 +54,9 @@
         self._events_forwarded = 0
         self._longest_pause_s = 0.0
         self._progress = StreamProgress()
+        self._quarantine = dispatcher.quarantine
+        self._is_trial = False
+        self._is_served = False
         self._first_event_s: float | None = None
 
     async def run(self) -> str:
@@ -57,25 +65,75 @@
         Raises:
             HoistError: If the prompt fails before any event was forwarded.
         """
+        call = self._request.call
+        trial = await self._quarantine.admit(call.id, call.shared_segments)
+        if trial is None:
+            return await self._run_attempts()
+        self._is_trial = True
+        try:
+            return await self._run_attempts()
+        finally:
+            self._quarantine.end_trial(trial, self._trial_result())
+
+    def _trial_result(self) -> TrialResult:
+        if not self._request.may_have_run:
+            return TrialResult.INCONCLUSIVE
+        writing_s = self._progress.writing_s(self._loop.time())
+        if self._is_served or writing_s > _MAX_SUSPECT_WRITING_S:
+            return TrialResult.PASSED
+        return TrialResult.FAILED
+
+    async def _run_attempts(self) -> str:
         while True:
             try:
                 reserved = await self._placer.place()
-            except HoistError:
+            except HoistError as error:
                 if self._responder.started:
-                    return self._abort_stream(
-                        "no engine available to resume the stream"
-                    )
+                    return self._abort_stream(f"not resumed: {error.message}")
                 raise
             try:
                 return await self._stream_from(reserved)
             except AttemptFailed as failure:
                 engine = reserved.placement.decode_engine
                 self.record_failure(engine, failure, self._progress)
-                if not self.try_begin_retry(failure):
+                await self._report_lost_connection(engine, failure)
+                if self._is_trial or not self.try_begin_retry(failure):
                     return self._end_after_failure(failure)
             finally:
                 self._placer.release(reserved)
 
+    def refusal_reason(self, server: BackendServer) -> str | None:
+        """Why the prompt may not be sent to this engine at this moment, or None."""
+        if self.quarantine_refusal() is not None:
+            return "a segment of the prompt is held"
+        return super().refusal_reason(server)
+
+    def quarantine_refusal(self) -> Refused | None:
+        """Why the prompt may not be sent to any engine now, or None."""
+        if self._is_trial:
+            return None
+        return self._quarantine.refusal(self._request.call.shared_segments)
+
+    async def _report_lost_connection(
+        self, engine: BackendServer, failure: AttemptFailed
+    ) -> None:
+        """Report the loss of an engine that had just begun to answer."""
+        segments = self._request.call.shared_segments
+        writing_s = self._progress.writing_s(self._loop.time())
+        if (
+            segments
+            and failure.connection_lost
+            and writing_s <= _MAX_SUSPECT_WRITING_S
+            and self._is_listed(engine)
+        ):
+            await self._quarantine.report_lost_connection(engine, segments)
+
+    def _is_listed(self, engine: BackendServer) -> bool:
+        """Whether the engine should be running: one that drains may end at any time."""
+        now_s = self._dispatcher.clock.monotonic_s()
+        listed = self._state.directory.find_usable(engine.id, now_s)
+        return listed is not None and listed.incarnation == engine.incarnation
+
     async def _stream_from(self, reserved: ReservedPlacement) -> str:
         placement = reserved.placement
         self._progress = StreamProgress()
@@ -91,6 +149,7 @@
             placement.decode_engine, options, max_idle_s=self._max_idle_s()
         )
         sent_s = self._loop.time()
+        sent_clock_s = self._dispatcher.clock.monotonic_s()
         if self._request.idempotent:
             reserved.on_decode_engine_lost = attempt.abort
         try:
@@ -106,6 +165,11 @@
             self.finish(attempt)
         self._responder.end_chunked()
         self._log_served(reserved)
+        segments = self._request.call.shared_segments
+        self._quarantine.report_completed(
+            segments, sent_clock_s, is_trial=self._is_trial
+        )
+        self._is_served = True
         return "served"
 
     def _max_idle_s(self) -> float:
@@ -165,9 +229,17 @@
             if not first:
                 wait_deadline_s = self._stall_deadline_s()
         if reader.incomplete.strip():
-            raise AttemptFailed(Execution.UNKNOWN, "the stream ended inside an event")
+            raise AttemptFailed(
+                Execution.UNKNOWN,
+                "the stream ended inside an event",
+                connection_lost=True,
+            )
         if first:
-            raise AttemptFailed(Execution.UNKNOWN, "the stream ended without an event")
+            raise AttemptFailed(
+                Execution.UNKNOWN,
+                "the stream ended without an event",
+                connection_lost=True,
+            )
 
     def _is_duplicate(self, event: StreamEvent) -> bool:
         """Whether a resumed stream repeats a forwarded event; ids increase."""
--- a/gentianhoist/dispatch/core.py
+++ b/gentianhoist/dispatch/core.py
@@ -17,6 +17,7 @@
 from gentianhoist.fleet import RoutingConfiguration
 from gentianhoist.http1 import Responder
 from gentianhoist.peers import CommitmentPublisher
+from gentianhoist.quarantine import PromptQuarantine
 from gentianhoist.telemetry import DecisionLog, EntryMetrics
 
 __all__ = ["DispatchPolicy", "DispatchState", "Dispatcher"]
@@ -35,6 +36,7 @@
         clock: The entry's clock.
         log: Receives one record for each decision.
         metrics: Counters and histograms of the entry.
+        quarantine: Keeps prompts that crash engines from them.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         clock: Clock,
         log: DecisionLog,
         metrics: EntryMetrics,
+        quarantine: PromptQuarantine,
     ) -> None:
         self.state = state
         self.codec = codec
@@ -54,6 +57,7 @@
         self.clock = clock
         self.log = log
         self.metrics = metrics
+        self.quarantine = quarantine
         self.queue_scheduler = QueueScanScheduler(state.queue, clock)
         self._background_tasks: set[asyncio.Task[None]] = set()
 
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -36,6 +36,12 @@
 )
 from gentianhoist.http1 import CallerRequest, HttpServer, Responder
 from gentianhoist.peers import PeerLink, PeerTableExchange
+from gentianhoist.quarantine import (
+    ConnectionProbe,
+    PromptQuarantine,
+    QuarantineRows,
+    SegmentQuarantine,
+)
 from gentianhoist.telemetry import DecisionLog, EntryMetrics
 
 __all__ = ["GatewayAdapter", "Gateway", "GatewaySettings", "OperatorView"]
@@ -48,6 +54,8 @@
 # Part of the grace period that is reserved for closing after the drain.
 _CLOSE_MARGIN_S = 0.6
 _DRAIN_POLL_INTERVAL_S = 0.05
+# The other entries publish a new record at once, so the feed may hear of it later.
+_QUARANTINE_FEED_POLICY = FollowPolicy(long_poll_s=8.0, snapshot_interval_s=30.0)
 
 
 class GatewaySettings(NamedTuple):
@@ -104,13 +112,17 @@
         codec: Encoder of requests to backend servers and decoder of their responses.
         operators_feed: Change feed of the operators' table.
         servers_feed: Change feed of the directory of backend servers.
+        quarantine_feed: Change feed of the quarantine's records.
         entry_rows: Rows of the store through which entries discover each other.
+        quarantine_rows: Rows of the store that hold the quarantine's records.
     """
 
     codec: ServerCodec
     operators_feed: ChangeFeed
     servers_feed: ChangeFeed
+    quarantine_feed: ChangeFeed
     entry_rows: EntryRows
+    quarantine_rows: QuarantineRows
 
     def decode_call(self, request: CallerRequest) -> Call:
         """Decode a caller's request.
@@ -165,6 +177,7 @@
         self._operator_rows: dict[str, FeedRow] = {}
         self._draining = False
         self._tables_loaded = asyncio.Event()
+        self._is_quarantine_loaded = False
         self._startup_hold_end_s = 0.0
         self._expiry_task: asyncio.Task[None] | None = None
         self._peers = PeerLink(
@@ -178,6 +191,17 @@
         self._table_exchange = PeerTableExchange(
             settings.host, settings.peers_port, lambda: self._peers.live_hosts
         )
+        self._quarantine = PromptQuarantine(
+            SegmentQuarantine(),
+            self._peers,
+            adapter.quarantine_rows,
+            ConnectionProbe(),
+            self._clock,
+            log,
+            self._metrics,
+            lambda: self._dispatcher.queue_scheduler.request_scan(),
+        )
+        self._peers.set_quarantine(self._quarantine)
         self._dispatcher = Dispatcher(
             self._state,
             adapter.codec,
@@ -186,6 +210,7 @@
             self._clock,
             log,
             self._metrics,
+            self._quarantine,
         )
         self._caller_server = HttpServer(
             self._serve, lambda: self._state.routing.limits, self._count_unreadable
@@ -222,6 +247,7 @@
         for follower in self._followers:
             follower.start()
         self._registry.start()
+        self._quarantine.start()
         await self._ready_server.start(settings.readiness_host, settings.readiness_port)
         await self._caller_server.start(settings.host, settings.callers_port, listener)
         await self._metrics_server.start(settings.host, settings.metrics_port)
@@ -257,6 +283,7 @@
         for follower in self._followers:
             await follower.close()
         await self._registry.close()
+        await self._quarantine.close()
         await self._peers.close()
         await self._table_exchange.close()
         self._dispatcher.queue_scheduler.close()
@@ -295,6 +322,16 @@
                 ),
                 self._table_exchange,
             ),
+            TableFollower(
+                "quarantine",
+                adapter.quarantine_feed,
+                _QUARANTINE_FEED_POLICY,
+                self._replace_quarantine,
+                self._quarantine.change_rows,
+                self._clock,
+                self._log,
+                peers=self._table_exchange,
+            ),
         ]
 
     async def _serve(self, request: CallerRequest, responder: Responder) -> None:
@@ -320,8 +357,17 @@
         except TimeoutError:
             self._log.record("serving_without_store", call.id)
 
+    def _replace_quarantine(self, rows: list[FeedRow]) -> None:
+        self._quarantine.replace_rows(rows)
+        self._is_quarantine_loaded = True
+        self._update_tables_loaded()
+
     def _update_tables_loaded(self) -> None:
-        if self._state.routing.current is not None and self._state.directory.is_loaded:
+        if (
+            self._state.routing.current is not None
+            and self._state.directory.is_loaded
+            and self._is_quarantine_loaded
+        ):
             self._tables_loaded.set()
 
     def _count_unreadable(self, status: int) -> None:
--- a/gentianhoist/peers/__init__.py
+++ b/gentianhoist/peers/__init__.py
@@ -1,4 +1,4 @@
-"""Exchange between entries: commitments for sent requests, and copies of tables."""
+"""Exchange between entries: commitments, quarantine evidence, copies of tables."""
 
 from gentianhoist.peers._messages import (
     Batch,
--- a/gentianhoist/peers/_messages.py
+++ b/gentianhoist/peers/_messages.py
@@ -5,12 +5,17 @@
 import msgspec
 
 from gentianhoist.placement import Commitment
+from gentianhoist.quarantine import QuarantineRecord
 
 __all__ = [
     "Batch",
     "CommitmentAdded",
     "CommitmentEnded",
+    "EngineLossReported",
     "FirstEventReceived",
+    "Message",
+    "PromptCompleted",
+    "SegmentRecorded",
     "SyncRequest",
 ]
 
@@ -107,6 +112,42 @@
     id: str
 
 
+class EngineLossReported(msgspec.Struct, tag="l", array_like=True):
+    """An engine crashed while it began answers of the sender.
+
+    Attributes:
+        engine: Identifies the incarnation of the engine.
+        age_ms: Time since the loss in ms.
+        prompts: Shared segments of each prompt whose answer had just begun.
+    """
+
+    engine: str
+    age_ms: int
+    prompts: list[tuple[str, ...]]
+
+
+class PromptCompleted(msgspec.Struct, tag="c", array_like=True):
+    """A prompt was answered to its end, which clears its segments.
+
+    Attributes:
+        segments: Its shared segments.
+        sent_age_ms: Time in ms since it was sent to the engine.
+    """
+
+    segments: list[str]
+    sent_age_ms: int
+
+
+class SegmentRecorded(msgspec.Struct, tag="q", array_like=True):
+    """The sender's record of a segment.
+
+    Attributes:
+        record: The record.
+    """
+
+    record: QuarantineRecord
+
+
 class SyncRequest(msgspec.Struct, tag="h", array_like=True):
     """An entry requests all current commitments of the receiver.
 
@@ -117,6 +158,17 @@
     host: str
 
 
+Message = (
+    CommitmentAdded
+    | FirstEventReceived
+    | CommitmentEnded
+    | EngineLossReported
+    | PromptCompleted
+    | SegmentRecorded
+    | SyncRequest
+)
+
+
 class Batch(msgspec.Struct, array_like=True):
     """Content of one datagram; without messages it is only a heartbeat.
 
@@ -126,4 +178,4 @@
     """
 
     incarnation: str
-    messages: list[CommitmentAdded | FirstEventReceived | CommitmentEnded | SyncRequest]
+    messages: list[Message]
--- a/gentianhoist/peers/core.py
+++ b/gentianhoist/peers/core.py
@@ -15,10 +15,15 @@
     Batch,
     CommitmentAdded,
     CommitmentEnded,
+    EngineLossReported,
     FirstEventReceived,
+    Message,
+    PromptCompleted,
+    SegmentRecorded,
     SyncRequest,
 )
 from gentianhoist.placement import Commitment, CommitmentLedger
+from gentianhoist.quarantine import EngineLoss, QuarantineRecord
 
 __all__ = ["CommitmentPublisher", "NullCommitmentPublisher", "PeerLink"]
 
@@ -31,6 +36,9 @@
 # After this time without a datagram an entry counts as stopped or partitioned, and its
 # requests at the engines count as ended.
 _PEER_TIMEOUT_S = 2.0
+# The records of segments are added to a datagram after this time, since the datagram
+# that brought a record first may have been lost.
+_RECORDS_INTERVAL_S = 1.0
 
 
 class CommitmentPublisher(Protocol):
@@ -59,6 +67,27 @@
         ...
 
 
+class QuarantineListener(Protocol):
+    """Receives what other entries publish about segments that crash engines."""
+
+    @property
+    def records(self) -> list[QuarantineRecord]:
+        """Records that are repeated to the other entries."""
+        ...
+
+    def receive_loss(self, loss: EngineLoss) -> None:
+        """Take the loss of an engine."""
+        ...
+
+    def receive_completed(self, segments: Iterable[str], sent_s: float) -> None:
+        """Take a prompt that was completed."""
+        ...
+
+    def receive_record(self, record: QuarantineRecord) -> None:
+        """Take a record of a segment."""
+        ...
+
+
 class NullCommitmentPublisher:
     """Publishes nothing, for an entry without peers.
 
@@ -122,10 +151,11 @@
         self._ids_with_first_event: set[str] = set()
         self._peer_hosts: set[str] = set()
         self._live_peers: dict[str, _Peer] = {}
+        self._quarantine: QuarantineListener | None = None
+        self._records_sent_s = float("-inf")
+        self._next_record = 0
         self._last_sent_s = float("-inf")
-        self._outbox: list[
-            CommitmentAdded | FirstEventReceived | CommitmentEnded | SyncRequest
-        ] = []
+        self._outbox: list[Message] = []
         self._flush_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.DatagramTransport | None = None
         self._encoder = msgspec.msgpack.Encoder()
@@ -212,6 +242,25 @@
             self._ids_with_first_event.discard(id_)
             self._enqueue(CommitmentEnded(id_))
 
+    def set_quarantine(self, listener: QuarantineListener) -> None:
+        """Set the receiver of losses, completed prompts and records."""
+        self._quarantine = listener
+
+    def publish_loss(self, loss: EngineLoss) -> None:
+        """Publish the loss of an engine."""
+        age_s = self._clock.monotonic_s() - loss.lost_s
+        prompts = sorted(loss.prompts)
+        self._enqueue(EngineLossReported(loss.engine, round(age_s * 1000), prompts))
+
+    def publish_completed(self, segments: Iterable[str], sent_s: float) -> None:
+        """Publish that a prompt with these segments, sent then, was completed."""
+        age_s = self._clock.monotonic_s() - sent_s
+        self._enqueue(PromptCompleted(list(segments), round(age_s * 1000)))
+
+    def publish_record(self, record: QuarantineRecord) -> None:
+        """Publish a new record of a segment."""
+        self._enqueue(SegmentRecorded(record))
+
     # Callbacks of the transport.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -272,7 +321,7 @@
 
     def _apply(
         self,
-        message: CommitmentAdded | FirstEventReceived | CommitmentEnded | SyncRequest,
+        message: Message,
         peer: _Peer,
         now_s: float,
     ) -> None:
@@ -286,11 +335,29 @@
                 peer.commitments.discard(id_)
                 self._ledger.remove(id_)
             case SyncRequest(host=host):
-                self._send_all_commitments(host, now_s)
+                self._send_state(host, now_s)
+            case EngineLossReported() | PromptCompleted() | SegmentRecorded():
+                self._apply_to_quarantine(message, now_s)
+
+    def _apply_to_quarantine(
+        self,
+        message: EngineLossReported | PromptCompleted | SegmentRecorded,
+        now_s: float,
+    ) -> None:
+        if self._quarantine is None:
+            return
+        match message:
+            case EngineLossReported(engine=engine, age_ms=age_ms, prompts=prompts):
+                loss = EngineLoss(engine, now_s - age_ms / 1000, frozenset(prompts))
+                self._quarantine.receive_loss(loss)
+            case PromptCompleted(segments=segments, sent_age_ms=age_ms):
+                self._quarantine.receive_completed(segments, now_s - age_ms / 1000)
+            case SegmentRecorded(record=record):
+                self._quarantine.receive_record(record)
 
     def _enqueue(
         self,
-        message: CommitmentAdded | FirstEventReceived | CommitmentEnded | SyncRequest,
+        message: Message,
     ) -> None:
         if not self._peer_hosts:
             return
@@ -312,20 +379,30 @@
 
     def _send_to_all(
         self,
-        messages: list[
-            CommitmentAdded | FirstEventReceived | CommitmentEnded | SyncRequest
-        ],
+        messages: list[Message],
     ) -> None:
         assert self._transport is not None
-        data = self._encode(messages)
+        data = self._encode([*messages, *self._records_due()])
         for host in self._peer_hosts:
             self._transport.sendto(data, (host, self._port))
 
-    def _send_all_commitments(self, host: str, now_s: float) -> None:
-        """Send all current commitments of this entry to one that requested them."""
-        messages: list[
-            CommitmentAdded | FirstEventReceived | CommitmentEnded | SyncRequest
-        ] = []
+    def _records_due(self) -> list[SegmentRecorded]:
+        """Some of the records, in turn, if they were not sent for a while."""
+        now_s = self._clock.monotonic_s()
+        if (
+            self._quarantine is None
+            or now_s - self._records_sent_s < _RECORDS_INTERVAL_S
+        ):
+            return []
+        self._records_sent_s = now_s
+        records = self._quarantine.records
+        start = self._next_record if self._next_record < len(records) else 0
+        end = self._next_record = start + _MAX_BATCH_MESSAGES
+        return [SegmentRecorded(record) for record in records[start:end]]
+
+    def _send_state(self, host: str, now_s: float) -> None:
+        """Send all commitments and records to an entry that requested them."""
+        messages: list[Message] = []
         for commitments in self._own_commitments.values():
             messages += [
                 CommitmentAdded.of(commitment, now_s) for commitment in commitments
@@ -333,6 +410,8 @@
         messages += [
             FirstEventReceived(id_) for id_ in sorted(self._ids_with_first_event)
         ]
+        if self._quarantine is not None:
+            messages += [SegmentRecorded(item) for item in self._quarantine.records]
         for start in range(0, len(messages), _MAX_BATCH_MESSAGES):
             data = self._encode(messages[start : start + _MAX_BATCH_MESSAGES])
             if self._transport is not None:
@@ -340,8 +419,6 @@
 
     def _encode(
         self,
-        messages: list[
-            CommitmentAdded | FirstEventReceived | CommitmentEnded | SyncRequest
-        ],
+        messages: list[Message],
     ) -> bytes:
         return self._encoder.encode(Batch(self._incarnation, messages))
--- a/gentianhoist/placement/_queue.py
+++ b/gentianhoist/placement/_queue.py
@@ -61,7 +61,8 @@
         latest_start_s: Time from which it can't be served in time any more, on the
             entry's clock.
         priority: Priority class; 0 is the highest.
-        try_place: Tries to place the request on the present loads.
+        try_place: Tries to place the request on the present loads; refuses it if it may
+            no longer be sent.
         result: Receives the placement or the refusal.
         organisation: Organisation of the caller; empty if unknown.
         retry_interval_s: Minimum seconds between two tries.
@@ -71,7 +72,7 @@
     demand: Demand
     latest_start_s: float
     priority: int
-    try_place: Callable[[], Placement | UnplacedReason]
+    try_place: Callable[[], Placement | UnplacedReason | PlacementRefused]
     result: asyncio.Future[Placement | PlacementRefused]
     organisation: str = ""
     retry_interval_s: float = 0.01
@@ -162,10 +163,10 @@
 
     def _place_first_come(self) -> None:
         for request in list(self._queued):
-            placement = request.try_place()
-            if isinstance(placement, UnplacedReason):
+            result = request.try_place()
+            if isinstance(result, UnplacedReason):
                 return
-            self._settle(request, placement)
+            self._settle(request, result)
 
     def _place_by_value(self, now_s: float) -> None:
         smallest_unplaced_tokens: float = float("inf")
@@ -186,8 +187,8 @@
                     request.next_try_s = now_s + request.retry_interval_s
                     if reason is UnplacedReason.NO_CAPACITY:
                         smallest_unplaced_tokens = request.demand.kv_tokens
-                case placement:
-                    self._settle(request, placement)
+                case result:
+                    self._settle(request, result)
 
     def _settle(
         self, request: QueuedRequest, result: Placement | PlacementRefused
--- /dev/null
+++ b/gentianhoist/quarantine/_evidence.py
@@ -0,0 +1,161 @@
+"""Evidence that a segment crashes engines: losses of engines, and completed prompts."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+__all__ = ["EngineLoss", "LossLog"]
+
+# Reports about one engine within this time are about the same loss. A crashed engine
+# takes longer than that to be back.
+_SAME_LOSS_S = 2.0
+# Losses closer together than this count once: a fault of a rack or an availability zone
+# takes many engines at the same moment, whatever they were answering.
+_SAME_INCIDENT_S = 0.1
+_MAX_LOSSES = 256
+_MAX_LOSS_AGE_S = 600.0
+_MAX_PROMPTS_PER_LOSS = 8
+_MAX_SEGMENTS_PER_PROMPT = 64
+_MAX_COMPLETED = 4096
+
+
+class EngineLoss(NamedTuple):
+    """An engine that crashed, and the prompts whose answers it had just begun.
+
+    Attributes:
+        engine: Identifies the incarnation of the engine.
+        lost_s: Time of the loss on the entry's monotonic clock, in seconds.
+        prompts: The shared segments of each of these prompts, in order.
+    """
+
+    engine: str
+    lost_s: float
+    prompts: frozenset[tuple[str, ...]]
+
+    def bounded(self) -> EngineLoss:
+        """Return the loss with at most so many prompts and segments as are kept."""
+        prompts = [prompt[-_MAX_SEGMENTS_PER_PROMPT:] for prompt in self.prompts]
+        kept = frozenset(sorted(prompts)[:_MAX_PROMPTS_PER_LOSS])
+        return self._replace(prompts=kept)
+
+
+class LossLog:
+    """Recent losses of engines, and the segments of prompts that were completed.
+
+    A completed prompt shows that none of its segments crashed engines when it was sent.
+    All times are on one entry's monotonic clock, in seconds.
+
+    Example:
+        >>> log = LossLog()
+        >>> log.add(EngineLoss("e1", 10.0, frozenset({("a", "b")})))
+        >>> log.add(EngineLoss("e2", 11.0, frozenset({("a", "b"), ("a", "c")})))
+        >>> log.incidents("b", held=frozenset())
+        2
+        >>> log.incidents("c", held=frozenset({"b"}))
+        0
+    """
+
+    def __init__(self) -> None:
+        self._losses: OrderedDict[tuple[str, float], EngineLoss] = OrderedDict()
+        self._completed_sent_s: OrderedDict[str, float] = OrderedDict()
+        self._by_segment: dict[str, list[EngineLoss]] = {}
+
+    def __len__(self) -> int:
+        return len(self._losses)
+
+    def add(self, loss: EngineLoss) -> None:
+        """Add a loss, or the prompts of another report about the same loss."""
+        self._drop_expired(loss.lost_s)
+        key = self._find(loss) or (loss.engine, loss.lost_s)
+        known = self._losses.get(key)
+        prompts = loss.prompts if known is None else known.prompts | loss.prompts
+        self._losses[key] = EngineLoss(key[0], key[1], prompts).bounded()
+        while len(self._losses) > _MAX_LOSSES:
+            self._losses.popitem(last=False)
+        self._by_segment = self._index()
+
+    def complete(self, segments: Iterable[str], sent_s: float) -> None:
+        """Record that a prompt was answered to its end.
+
+        Args:
+            segments: Shared segments of the prompt.
+            sent_s: Time when it was sent to the engine.
+        """
+        for segment in segments:
+            known_s = self._completed_sent_s.get(segment, float("-inf"))
+            self._completed_sent_s[segment] = max(known_s, sent_s)
+            self._completed_sent_s.move_to_end(segment)
+        while len(self._completed_sent_s) > _MAX_COMPLETED:
+            self._completed_sent_s.popitem(last=False)
+
+    def was_completed(self, segment: str) -> bool:
+        """Whether a prompt with the segment is known to have been completed."""
+        return segment in self._completed_sent_s
+
+    def segments(self) -> set[str]:
+        """All segments of the prompts of all losses."""
+        return set(self._by_segment)
+
+    def unrefuted_s(self, segment: str, held: frozenset[str]) -> list[float]:
+        """Times of the losses that the segment may have caused, in order.
+
+        Args:
+            segment: Id of the segment.
+            held: Segments whose prompts explain the loss of an engine.
+
+        Returns:
+            Times of the losses that no held segment explains, and that are later than
+            every completed prompt with the segment was sent.
+        """
+        refuted_until_s = self._completed_sent_s.get(segment, float("-inf"))
+        return sorted(
+            loss.lost_s
+            for loss in self._by_segment.get(segment, ())
+            if loss.lost_s > refuted_until_s
+            and not any(held.intersection(prompt) for prompt in loss.prompts)
+        )
+
+    def incidents(self, segment: str, held: frozenset[str]) -> int:
+        """Number of incidents that the segment may have caused.
+
+        It counts the losses of `unrefuted_s`, those at the same moment once.
+        """
+        count = 0
+        incident_s = float("-inf")
+        for lost_s in self.unrefuted_s(segment, held):
+            if lost_s - incident_s >= _SAME_INCIDENT_S:
+                count += 1
+                incident_s = lost_s
+        return count
+
+    def depth(self, segment: str) -> int:
+        """Largest position of the segment in the prompts of the losses."""
+        return max(
+            (
+                prompt.index(segment)
+                for loss in self._by_segment.get(segment, ())
+                for prompt in loss.prompts
+                if segment in prompt
+            ),
+            default=0,
+        )
+
+    def _find(self, loss: EngineLoss) -> tuple[str, float] | None:
+        for key in reversed(self._losses):
+            if key[0] == loss.engine and abs(key[1] - loss.lost_s) < _SAME_LOSS_S:
+                return key
+        return None
+
+    def _index(self) -> dict[str, list[EngineLoss]]:
+        by_segment: dict[str, list[EngineLoss]] = {}
+        for loss in self._losses.values():
+            for segment in set().union(*loss.prompts):
+                by_segment.setdefault(segment, []).append(loss)
+        return by_segment
+
+    def _drop_expired(self, now_s: float) -> None:
+        for key in list(self._losses):
+            if now_s - key[1] > _MAX_LOSS_AGE_S:
+                del self._losses[key]
--- a/gentianhoist/telemetry/_exposition.py
+++ b/gentianhoist/telemetry/_exposition.py
@@ -54,6 +54,18 @@
         self._server_count = Gauge(
             "entry_backend_servers", "Backend servers known.", registry=registry
         )
+        self._lost_engines = Counter(
+            "entry_lost_engines",
+            "Probes of engines after a connection was lost at the beginning of an "
+            "answer, by whether the engine was down.",
+            ["down"],
+            registry=registry,
+        )
+        self._held_segments = Gauge(
+            "entry_held_segments",
+            "Prompt segments that are held or tried because they crash engines.",
+            registry=registry,
+        )
         self._dropped_lines = Gauge(
             "entry_log_lines_dropped", "Log lines dropped.", registry=registry
         )
@@ -83,6 +95,18 @@
         """
         self._failed_sends.labels(execution).inc()
 
+    def record_lost_engine(self, is_down: bool) -> None:
+        """Count a probe of an engine whose connection was lost.
+
+        Args:
+            is_down: Whether nothing listened at its address any more.
+        """
+        self._lost_engines.labels(str(is_down).lower()).inc()
+
+    def set_held_segments(self, count: int) -> None:
+        """Set the number of prompt segments that are held or tried."""
+        self._held_segments.set(count)
+
     def record_store_call(self, call: str, outcome: str) -> None:
         """Count a finished call to the platform's store.
 
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -35,6 +35,12 @@
     ResponseHead,
 )
 from gentianhoist.peers import NullCommitmentPublisher
+from gentianhoist.quarantine import (
+    NullQuarantinePublisher,
+    PromptQuarantine,
+    SegmentQuarantine,
+)
+from gentianhoist.store import StoreUnavailable
 from gentianhoist.telemetry import DecisionLog, EntryMetrics
 from tests.virtual_time_loop import VirtualTimeLoop
 
@@ -230,6 +236,27 @@
         self._server_state.reservations.pop((server.id, reservation_id), None)
 
 
+class FakeQuarantineRows:
+    """Rows of a store that is never available."""
+
+    async def write(self, key: str, value: bytes, version: int) -> None:
+        raise StoreUnavailable("down")
+
+    async def remove(self, key: str, version: int) -> None:
+        raise StoreUnavailable("down")
+
+
+class FakeProbe:
+    """Reports the servers that lost power as down."""
+
+    def __init__(self, server_state: FakeServerState) -> None:
+        self._server_state = server_state
+
+    async def is_down(self, server: BackendServer) -> bool:
+        await asyncio.sleep(0.003)
+        return server.id in self._server_state.dead
+
+
 class FakeResponder:
     """Records the response that the caller receives."""
 
@@ -341,6 +368,16 @@
         self.state.directory.replace(
             [ServerListing(item.id, item) for item in self.servers], loop.time()
         )
+        self.quarantine = PromptQuarantine(
+            SegmentQuarantine(),
+            NullQuarantinePublisher(),
+            FakeQuarantineRows(),
+            FakeProbe(self.server_state),
+            loop,
+            DecisionLog({}),
+            EntryMetrics(),
+            lambda: None,
+        )
         self.dispatcher = Dispatcher(
             self.state,
             FakeCodec(),
@@ -349,4 +386,5 @@
             loop,
             DecisionLog({}),
             EntryMetrics(),
+            self.quarantine,
         )
--- a/tests/platform_adapter/conftest.py
+++ b/tests/platform_adapter/conftest.py
@@ -102,7 +102,9 @@
     }
     settings = decode_fields(fields, "node.conf")
     gateway = Gateway(
-        gateway_settings(settings), PlatformAdapter(settings), DecisionLog({})
+        gateway_settings(settings),
+        PlatformAdapter(settings),
+        DecisionLog({}),
     )
     await gateway.start()
     return settings, gateway
--- a/tests/platform_adapter/test_quarantine.py
+++ b/tests/platform_adapter/test_quarantine.py
@@ -6,13 +6,21 @@
 import aiohttp
 import pytest
 
+from gentianhoist.quarantine import (
+    QuarantinePolicy,
+    QuarantineRecord,
+    QuarantineState,
+)
+
 ENTRIES = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
-# Engines that one segment may crash before its prompts are kept from them, and the
-# prompts that may reach engines after that.
+# This time after a segment has crashed so many engines, only a few prompts with it may
+# still reach engines.
 MAX_CRASHES = 5
+HOLD_WITHIN_S = 3.0
 MAX_LATER_PROMPTS = 3
 CLEAN = "aa"
 DEADLY = "dd"
+HELD = QuarantineRecord(DEADLY, QuarantineState.HELD, 1, 0, int(4e12))
 
 _numbers = itertools.count()
 
@@ -36,7 +44,11 @@
 
 
 async def send_prompt(
-    fleet, *segments: str, entry: str = ENTRIES[0], path: str = "/brief/x"
+    fleet,
+    *segments: str,
+    entry: str = ENTRIES[0],
+    path: str = "/brief/x",
+    tokens: str = "5000,100",
 ) -> int:
     """Send a prompt of these segments and one of its own; returns the status."""
     number = next(_numbers)
@@ -44,7 +56,7 @@
     prefix = ",".join(f"{id_}:100" for id_ in ids)
     try:
         status, _, _ = await fleet.send(
-            path, f"q{number}", entry, Token_Count="5000,100", Prefix_Hash=prefix
+            path, f"q{number}", entry, Token_Count=tokens, Prefix_Hash=prefix
         )
     except aiohttp.ClientError:
         return 0
@@ -64,7 +76,7 @@
     return sum(server.crashes for server in fleet.servers.values())
 
 
-async def send_rounds(fleet, rounds: int, *segments: str, pause_s: float = 0.15):
+async def send_rounds(fleet, rounds: int, *segments: str, **prompt: str) -> list[int]:
     """Send a deadly and a clean prompt to each entry, a few rounds of them.
 
     Returns the statuses of the clean prompts.
@@ -73,21 +85,160 @@
     for _ in range(rounds):
         statuses = await asyncio.gather(
             *(
-                send_prompt(fleet, *prompt_segments, entry=entry)
+                send_prompt(fleet, *prompt_segments, entry=entry, **prompt)
                 for entry in ENTRIES
                 for prompt_segments in ((CLEAN, *segments), (CLEAN,))
             )
         )
         clean_statuses += statuses[1::2]
-        await asyncio.sleep(pause_s)
+        await asyncio.sleep(0.15)
     return clean_statuses
 
 
+async def hold(fleet, segment: str, **prompt: str) -> None:
+    """Send deadly prompts until all entries hold the segment, or for too long."""
+    loop = asyncio.get_running_loop()
+    fifth_crash_s = float("inf")
+    while not all(is_held(gateway, segment) for gateway in entries(fleet)):
+        await send_rounds(fleet, 1, segment, **prompt)
+        if crashes(fleet) >= MAX_CRASHES:
+            fifth_crash_s = min(fifth_crash_s, loop.time())
+        assert loop.time() - fifth_crash_s < HOLD_WITHIN_S
+
+
+def entries(fleet) -> list:
+    return list(fleet.gateways.values())
+
+
+def is_held(gateway, *segments: str) -> bool:
+    return all(gateway._quarantine.refusal((segment,)) for segment in segments)
+
+
 class TestDeadlySegment:
     # Guards against: prompts that share a segment crash one engine after the other,
     # because every entry sends each of them, and again after a crash.
-    async def test_stops_reaching_engines(self, fleet):
-        await send_rounds(fleet, 6, DEADLY)
+    @pytest.mark.parametrize("path", ["/brief/x", "/brief/long"])
+    async def test_stops_reaching_engines(self, fleet, path):
+        await send_rounds(fleet, 6, DEADLY, path=path)
+        before = arrivals(fleet, DEADLY)
+        assert await send_rounds(fleet, 8, DEADLY, path=path) == [200] * 24
+        assert arrivals(fleet, DEADLY) - before <= MAX_LATER_PROMPTS
+
+    # Guards against: the same, with prompts that several engines prefill.
+    async def test_of_prompts_on_several_engines(self, fleet):
+        tokens = "300000,100"
+        await hold(fleet, DEADLY, tokens=tokens)
         before = arrivals(fleet, DEADLY)
-        assert await send_rounds(fleet, 8, DEADLY) == [200] * 24
+        assert await send_rounds(fleet, 4, DEADLY, tokens=tokens) == [200] * 12
         assert arrivals(fleet, DEADLY) - before <= MAX_LATER_PROMPTS
+
+    async def test_several_at_the_same_time(self, fleet):
+        deadly = ("dd", "ee", "ff")
+        set_deadly(fleet, *deadly)
+        for _ in range(6):
+            await asyncio.gather(*(send_rounds(fleet, 1, item) for item in deadly))
+        before = [arrivals(fleet, item) for item in deadly]
+        for _ in range(4):
+            statuses = await asyncio.gather(
+                *(send_rounds(fleet, 1, item) for item in deadly)
+            )
+            assert statuses == [[200] * 3] * 3
+        for item, count in zip(deadly, before, strict=True):
+            assert arrivals(fleet, item) - count <= MAX_LATER_PROMPTS
+
+    async def test_refusal_says_that_the_prompt_has_not_run(self, fleet):
+        await hold(fleet, DEADLY)
+        before = arrivals(fleet, DEADLY)
+        headers = {"Token_Count": "5000,100", "Prefix_Hash": f"{DEADLY}:1,ab:1"}
+        status, received, body = await fleet.send("/brief/x", "r1", **headers)
+        assert status == 503
+        assert float(received["Retry-After"]) >= 1.0
+        assert b"prompt_quarantined" in body
+        assert b'"not_run":"true"' in body
+        assert arrivals(fleet, DEADLY) == before
+
+
+class TestSoundPrompts:
+    # Guards against: engines that crash for other reasons make entries refuse prompts
+    # that had nothing to do with it.
+    async def test_are_served_while_engines_crash_for_other_reasons(self, fleet):
+        set_deadly(fleet)
+        engines = [server for id_, server in fleet.servers.items() if id_[0] == "e"]
+        statuses = []
+        for number in range(20):
+            prompts = asyncio.gather(
+                *(
+                    send_prompt(fleet, CLEAN, f"c{n}", entry=entry)
+                    for entry in ENTRIES
+                    for n in range(3)
+                )
+            )
+            await asyncio.sleep(0.012)
+            await engines[number % len(engines)].crash()
+            statuses += await prompts
+            assert not any(is_held(gateway, CLEAN) for gateway in entries(fleet))
+        assert 503 not in statuses
+        assert statuses.count(200) >= 0.5 * len(statuses)
+
+
+class TestEntries:
+    async def test_an_entry_that_is_added_knows(self, fleet):
+        await hold(fleet, DEADLY)
+        gateway = await fleet.add_entry("127.0.0.4")
+        await fleet.wait_until(lambda: is_held(gateway, DEADLY))
+
+    # Guards against: all entries are killed, and each learns by crashes once more.
+    async def test_entries_that_all_restart_know(self, fleet):
+        await hold(fleet, DEADLY)
+        await fleet.wait_until(lambda: fleet.store.keys("quarantine") == [DEADLY])
+        for host in ENTRIES:
+            await fleet.remove_entry(host)
+        before = arrivals(fleet, DEADLY)
+        for host in ENTRIES:
+            await fleet.add_entry(host)
+            assert await send_prompt(fleet, CLEAN, DEADLY, entry=host) == 503
+        assert arrivals(fleet, DEADLY) == before
+
+    # Guards against: an entry whose datagrams are lost never hears of it.
+    async def test_an_entry_cut_off_from_the_others_learns_from_the_store(self, fleet):
+        cut_off = fleet.gateways[ENTRIES[2]]
+        cut_off._peers.datagram_received = lambda data, addr: None
+        await hold(fleet, DEADLY)
+        assert is_held(cut_off, DEADLY)
+
+    async def test_the_others_know_while_the_store_is_away(self, fleet):
+        fleet.store.faults.down = True
+        await hold(fleet, DEADLY)
+        before = arrivals(fleet, DEADLY)
+        await send_rounds(fleet, 3, DEADLY)
+        assert arrivals(fleet, DEADLY) == before
+        fleet.store.faults.down = False
+        await fleet.wait_until(lambda: fleet.store.keys("quarantine") == [DEADLY])
+
+    async def test_a_lost_datagram_is_made_up_for(self, fleet):
+        fleet.store.faults.down = True
+        deaf = fleet.gateways[ENTRIES[2]]._peers
+        receive, deaf.datagram_received = deaf.datagram_received, lambda data, addr: 0
+        for gateway in entries(fleet)[:2]:
+            gateway._quarantine.receive_record(HELD)
+        deaf.datagram_received = receive
+        await fleet.wait_until(lambda: is_held(fleet.gateways[ENTRIES[2]], DEADLY))
+
+
+class TestTrial:
+    async def test_segment_is_released_once_engines_answer_it(self, fleet):
+        for gateway in entries(fleet):
+            policy = QuarantinePolicy(first_hold_s=0.4, hold_ratio=1.0)
+            gateway._quarantine._quarantine._policy = policy
+        await hold(fleet, DEADLY)
+        before = arrivals(fleet, DEADLY)
+        await asyncio.sleep(0.6)
+        await send_rounds(fleet, 1, DEADLY)
+        assert arrivals(fleet, DEADLY) - before <= 1
+        set_deadly(fleet)
+        await asyncio.sleep(0.6)
+        await send_rounds(fleet, 4, DEADLY)
+        statuses = [
+            await send_prompt(fleet, CLEAN, DEADLY, entry=host) for host in ENTRIES
+        ]
+        assert statuses == [200] * 3
--- /dev/null
+++ b/tests/quarantine/test_core.py
@@ -0,0 +1,249 @@
+"""Which segments are held, tried and released, from losses and completed prompts."""
+
+import itertools
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from gentianhoist.quarantine import (
+    Admitted,
+    EngineLoss,
+    QuarantineRecord,
+    QuarantineState,
+    Refused,
+    SegmentQuarantine,
+    TrialDue,
+    TrialResult,
+)
+
+WALL_S = 1_000_000.0
+HOLD_S = 10.0
+_engines = itertools.count()
+
+
+def lose(quarantine, lost_s: float, *prompts: tuple[str, ...]):
+    """Lose a new engine with these prompts; returns the segments that are held."""
+    loss = EngineLoss(f"e{next(_engines)}", lost_s, frozenset(prompts))
+    quarantine.add_loss(loss)
+    records = quarantine.evaluate(WALL_S + lost_s)
+    return [item.segment for item in records if item.state is QuarantineState.HELD]
+
+
+def complete(quarantine, sent_s: float, *segments: str):
+    """Complete a prompt; returns the segments that are released."""
+    _, released = quarantine.complete(segments, sent_s, WALL_S + sent_s)
+    return [record.segment for record in released]
+
+
+def held_quarantine() -> SegmentQuarantine:
+    """A quarantine that holds "dd" at time 2."""
+    quarantine = SegmentQuarantine()
+    for lost_s in (0.0, 1.0, 2.0):
+        lose(quarantine, lost_s, ("aa", "dd"))
+    assert quarantine.held == {"dd"}
+    return quarantine
+
+
+class TestHold:
+    def test_segment_is_held_after_three_incidents(self):
+        quarantine = SegmentQuarantine()
+        assert lose(quarantine, 0.0, ("dd",)) == []
+        assert lose(quarantine, 1.0, ("dd",)) == []
+        assert lose(quarantine, 2.0, ("dd",)) == ["dd"]
+        assert isinstance(quarantine.admission(("dd",), WALL_S + 2.0), Refused)
+        assert isinstance(quarantine.admission(("ee",), WALL_S + 2.0), Admitted)
+
+    def test_reports_about_one_loss_count_once(self):
+        quarantine = SegmentQuarantine()
+        for entry in range(5):
+            loss = EngineLoss("e-1/7", 1.0 + entry / 100, frozenset({("dd",)}))
+            quarantine.add_loss(loss)
+            assert quarantine.evaluate(WALL_S) == []
+
+    def test_losses_at_the_same_moment_count_once(self):
+        # Guards against: a rack or an availability zone fails, and a popular segment is
+        # in progress on many of its engines.
+        quarantine = SegmentQuarantine()
+        for number in range(20):
+            assert lose(quarantine, 5.0 + number / 1000, ("aa", "bb")) == []
+
+    def test_first_segment_is_explained_by_the_deeper_one(self):
+        # Guards against: all deadly prompts share their first segment with sound ones.
+        quarantine = SegmentQuarantine()
+        held = [lose(quarantine, float(n), ("aa", "dd"), ("aa",)) for n in range(9)]
+        assert [segment for segments in held for segment in segments] == ["dd"]
+        assert quarantine.held == {"dd"}
+
+    def test_completed_segment_is_blamed_after_one_that_never_was(self):
+        quarantine = SegmentQuarantine()
+        complete(quarantine, -9.0, "bb")
+        for lost_s in (0.0, 1.0):
+            lose(quarantine, lost_s, ("dd", "bb"))
+        assert lose(quarantine, 2.0, ("dd", "bb")) == ["dd"]
+
+    def test_segment_completed_in_between_is_not_held(self):
+        quarantine = SegmentQuarantine()
+        for number in range(30):
+            assert lose(quarantine, float(number), ("aa",)) == []
+            complete(quarantine, number + 0.5, "aa")
+
+    def test_prompt_sent_before_the_loss_refutes_nothing(self):
+        quarantine = SegmentQuarantine()
+        lose(quarantine, 1.0, ("dd",))
+        complete(quarantine, 0.5, "dd")
+        lose(quarantine, 2.0, ("dd",))
+        lose(quarantine, 3.0, ("dd",))
+        assert lose(quarantine, 4.0, ("dd",)) == ["dd"]
+
+    def test_two_deadly_segments_are_both_held(self):
+        quarantine = SegmentQuarantine()
+        for number in range(3):
+            lose(quarantine, float(number), ("aa", "dd"), ("aa", "ee"))
+        for number in range(3, 6):
+            lose(quarantine, float(number), ("aa", "ee"))
+        assert quarantine.held == {"dd", "ee"}
+
+    def test_partial_reports_blame_nobody_for_long(self):
+        # Guards against: an entry hears of the sound prompts of a lost engine before it
+        # hears of the deadly one, and holds their segment until the next trial.
+        quarantine = SegmentQuarantine()
+        complete(quarantine, -1.0, "aa")
+        for number in range(4):
+            lose(quarantine, float(number), ("aa",))
+        assert quarantine.held == {"aa"}
+        for number in range(4):
+            loss = EngineLoss(f"e{next(_engines) - 4}", float(number), frozenset())
+            late = loss._replace(prompts=frozenset({("aa", "dd")}))
+            quarantine.add_loss(late)
+        quarantine.evaluate(WALL_S + 3.1)
+        assert quarantine.held == {"dd"}
+
+    def test_completed_segment_needs_more_incidents(self):
+        quarantine = SegmentQuarantine()
+        complete(quarantine, -1.0, "aa")
+        held = [lose(quarantine, float(number), ("aa",)) for number in range(4)]
+        assert held == [[], [], [], ["aa"]]
+
+    def test_released_segment_is_held_only_by_new_losses(self):
+        quarantine = held_quarantine()
+        record = quarantine.record("dd")
+        released = record._replace(state=QuarantineState.RELEASED, sequence=2)
+        quarantine.merge(released, 3.0)
+        complete(quarantine, 2.5, "aa", "dd")
+        assert quarantine.evaluate(WALL_S + 3.0) == []
+        for number in range(4):
+            lose(quarantine, 4.0 + number, ("aa", "dd"))
+        assert quarantine.held == {"dd"}
+
+    def test_old_losses_are_forgotten(self):
+        quarantine = SegmentQuarantine()
+        for number in range(9):
+            assert lose(quarantine, number * 700.0, ("dd",)) == []
+
+
+class TestRelease:
+    def test_prompt_that_was_in_progress_releases(self):
+        # Guards against: a sound segment held by coincidence stays held, although a
+        # prompt with it, sent after the first loss, is answered.
+        quarantine = held_quarantine()
+        assert complete(quarantine, 1.5, "aa", "dd") == ["dd"]
+        assert isinstance(quarantine.admission(("dd",), WALL_S + 3.0), Admitted)
+
+    def test_prompt_sent_before_the_first_loss_does_not(self):
+        quarantine = held_quarantine()
+        assert complete(quarantine, -0.5, "aa", "dd") == []
+
+    def test_one_trial_after_the_hold(self):
+        quarantine = held_quarantine()
+        wall_s = WALL_S + 2.0 + HOLD_S
+        refused = quarantine.admission(("dd",), wall_s - 0.5)
+        assert refused == Refused("dd", 0.5)
+        due = quarantine.admission(("aa", "dd"), wall_s)
+        assert isinstance(due, TrialDue)
+        quarantine.merge(due.record, 12.0)
+        assert isinstance(quarantine.admission(("dd",), wall_s), Refused)
+
+    def test_trial_that_passes_releases(self):
+        quarantine = held_quarantine()
+        trial = quarantine.admission(("dd",), WALL_S + 12.0).record
+        quarantine.merge(trial, 12.0)
+        quarantine.end_trial(trial, TrialResult.PASSED, WALL_S + 13.0)
+        assert quarantine.held == frozenset()
+
+    def test_trial_that_fails_holds_for_longer(self):
+        quarantine = held_quarantine()
+        trial = quarantine.admission(("dd",), WALL_S + 12.0).record
+        quarantine.merge(trial, 12.0)
+        quarantine.end_trial(trial, TrialResult.FAILED, WALL_S + 12.5)
+        assert quarantine.admission(("dd",), WALL_S + 12.5) == Refused("dd", 80.0)
+
+    def test_trial_without_a_result_leaves_the_hold_as_it_was(self):
+        quarantine = held_quarantine()
+        trial = quarantine.admission(("dd",), WALL_S + 12.0).record
+        quarantine.merge(trial, 12.0)
+        quarantine.end_trial(trial, TrialResult.INCONCLUSIVE, WALL_S + 12.5)
+        assert quarantine.admission(("dd",), WALL_S + 12.5) == Refused("dd", HOLD_S)
+
+    def test_trial_of_an_entry_that_was_killed_times_out(self):
+        quarantine = held_quarantine()
+        quarantine.merge(quarantine.admission(("dd",), WALL_S + 12.0).record, 12.0)
+        assert isinstance(quarantine.admission(("dd",), WALL_S + 41.0), Refused)
+        assert isinstance(quarantine.admission(("dd",), WALL_S + 43.0), TrialDue)
+
+    def test_records_expire(self):
+        quarantine = held_quarantine()
+        assert quarantine.expire(WALL_S + 3600.0) == []
+        assert len(quarantine.expire(WALL_S + 3700.0)) == 1
+        assert quarantine.held == frozenset()
+
+
+SEGMENTS = st.sampled_from(["aa", "bb", "cc", "dd"])
+RECORDS = st.builds(
+    QuarantineRecord,
+    st.just("dd"),
+    st.sampled_from(list(QuarantineState)),
+    st.integers(1, 4),
+    st.integers(0, 2),
+    st.integers(0, 9),
+)
+
+
+class TestProperties:
+    @given(st.lists(RECORDS, max_size=6), st.randoms())
+    def test_entries_agree_whatever_the_order(self, records, random):
+        other_order = list(records)
+        random.shuffle(other_order)
+        first, second = SegmentQuarantine(), SegmentQuarantine()
+        for record in records:
+            first.merge(record, 50.0)
+        for record in other_order + other_order:
+            second.merge(record, 50.0)
+        for one, other in zip(first.records, second.records, strict=True):
+            assert one.is_same_change(other)
+
+    @given(st.lists(st.tuples(SEGMENTS, SEGMENTS, st.booleans()), max_size=40))
+    def test_a_deadly_segment_costs_few_engines(self, prompts):
+        """Prompts with "dd" crash their engine; others complete."""
+        quarantine = SegmentQuarantine()
+        losses = 0
+        for number, (first, second, is_deadly) in enumerate(prompts):
+            segments = ("dd", first) if is_deadly else (first, second)
+            now_s = float(number)
+            if not isinstance(quarantine.admission(segments, WALL_S), Admitted):
+                continue
+            if "dd" in segments:
+                losses += 1
+                lose(quarantine, now_s, segments)
+            else:
+                complete(quarantine, now_s, *segments)
+        # Each other segment may be blamed first, where no prompt has cleared it.
+        assert losses <= 3 * 4
+
+    def test_state_is_bounded(self):
+        quarantine = SegmentQuarantine()
+        for number in range(2_000):
+            lose(quarantine, number / 10, (f"d{number // 3:x}",))
+            complete(quarantine, number / 10, *(f"a{number}{n}" for n in range(5)))
+        assert len(quarantine.records) <= 256
+        assert len(quarantine._losses) <= 256
+        assert len(quarantine._losses._completed_sent_s) <= 4096
