Close a connection whose response head or framing never ends

What callers saw: nothing until their deadline, while the entry's memory grew. Cause: the client connection had limits for a body only. A header, a list of headers, a reason phrase, informational heads, a chunk extension and trailers could each come without end; exchange() kept a body of any size. Change: at most 64 KiB since the last byte of a body, then the connection is aborted and the request fails; exchange() takes 32 MiB at most.

--- a/gentianhoist/http1/_client.py
+++ b/gentianhoist/http1/_client.py
@@ -19,6 +19,8 @@
 __all__ = ["ClientConnection", "ConnectionFailed", "ResponseHead"]
 
 _MAX_BUFFERED_BYTES = 256 * 1024
+# Bytes of heads, chunk framing and trailers since the last byte of a body.
+_MAX_OVERHEAD_BYTES = 64 * 1024
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 _FIRST_FINAL_STATUS = 200
@@ -97,6 +99,7 @@
         self._request_sent = False
         self._pending_responses = 0
         self._buffered_bytes = 0
+        self._overhead_bytes = 0
         self._reuse_forbidden = False
         self.keep_alive_s: float | None = None
         self.idle_since_s = 0.0
@@ -220,13 +223,15 @@
         if not self._pending_responses:
             self._forbid_reuse_and_abort_if_idle()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._forbid_reuse_and_abort_if_idle()
         except httptools.HttpParserError as error:
-            self._forbid_reuse_and_abort_if_idle()
-            self._fail(f"invalid HTTP response: {error}")
+            self._abort(f"invalid HTTP response: {error}")
+        if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
+            self._abort("the response has a head or framing beyond the size limit")
 
     def eof_received(self) -> bool:
         if self._body_ends_at_close and self._in_response:
@@ -256,6 +261,7 @@
         status = self._parser.get_status_code()
         if status < _FIRST_FINAL_STATUS or not self._pending_responses:
             return
+        self._overhead_bytes = 0
         head = ResponseHead(status, self._headers)
         self._apply_keep_alive(head)
         self._enqueue(_HeadEvent(head))
@@ -272,6 +278,7 @@
     def on_body(self, data: bytes) -> None:
         if not self._pending_responses:
             return
+        self._overhead_bytes = 0
         self._enqueue(_DataEvent(bytes(data)))
         self._buffered_bytes += len(data)
         if self._buffered_bytes >= _MAX_BUFFERED_BYTES and self._transport is not None:
@@ -293,6 +300,7 @@
 
     def _complete_response(self) -> None:
         self._in_response = False
+        self._overhead_bytes = 0
         self._body_ends_at_close = False
         self._pending_responses -= 1
         if self._transport is None or self._transport.get_write_buffer_size():
@@ -306,6 +314,13 @@
         if not self._pending_responses and self._transport is not None:
             self._transport.abort()
 
+    def _abort(self, message: str) -> None:
+        """Fail and close the connection; a server may send bytes without end."""
+        self._reuse_forbidden = True
+        self._fail(message)
+        if self._transport is not None:
+            self._transport.abort()
+
     def _fail(self, message: str) -> None:
         if self._failure_message is None:
             self._failure_message = message
--- a/gentianhoist/http1/_exchange.py
+++ b/gentianhoist/http1/_exchange.py
@@ -5,11 +5,15 @@
 import asyncio
 from typing import NamedTuple
 
+from gentianhoist.http1._client import ConnectionFailed
 from gentianhoist.http1._pool import ConnectionPool
 
 __all__ = ["BufferedResponse", "exchange"]
 
 
+_MAX_BODY_BYTES = 32 * 1024 * 1024
+
+
 class BufferedResponse(NamedTuple):
     """A response with its complete body.
 
@@ -23,7 +27,11 @@
 
 
 async def exchange(
-    pool: ConnectionPool, request: bytes, head_timeout_s: float, read_timeout_s: float
+    pool: ConnectionPool,
+    request: bytes,
+    head_timeout_s: float,
+    read_timeout_s: float,
+    max_body_bytes: int = _MAX_BODY_BYTES,
 ) -> BufferedResponse:
     """Send a request and read its complete response.
 
@@ -34,9 +42,11 @@
             connection isn't included.
         read_timeout_s: Maximum seconds between two parts of the body. There is no limit
             on the whole body, since a large response takes long on a slow link.
+        max_body_bytes: Maximum size of the body.
 
     Raises:
-        ConnectionFailed: If no connection can be opened, or it fails.
+        ConnectionFailed: If no connection can be opened, it fails, or the body exceeds
+            the limit.
         TimeoutError: If a part of the response doesn't arrive in time.
     """
     acquired = await pool.acquire()
@@ -46,12 +56,16 @@
         async with asyncio.timeout(head_timeout_s):
             head = await connection.read_head()
         body_parts = []
+        body_bytes = 0
         while True:
             async with asyncio.timeout(read_timeout_s):
                 data = await connection.read_data()
             if not data:
                 break
             body_parts.append(data)
+            body_bytes += len(data)
+            if body_bytes > max_body_bytes:
+                raise ConnectionFailed("the body exceeds the size limit", sent=True)
     except BaseException:
         connection.close()
         raise
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gentianhoist.http1 import ConnectionFailed, ConnectionPool, PoolLimits
+from gentianhoist.http1 import ConnectionFailed, ConnectionPool, PoolLimits, exchange
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -125,6 +125,96 @@
         await server.close()
 
 
+# What a server in trouble sends, and then repeats until the connection is closed.
+ENDLESS_RESPONSES = [
+    ("header", b"HTTP/1.1 200 OK\r\nX: ", b"a" * 1000),
+    ("headers", b"HTTP/1.1 200 OK\r\n", b"X: aaaaaaaa\r\n" * 80),
+    ("reason", b"HTTP/1.1 200 ", b"a" * 1000),
+    ("informational", b"", b"HTTP/1.1 103 Early\r\n\r\n" * 40),
+    (
+        "chunk extension",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n2;",
+        b"a" * 1000,
+    ),
+    (
+        "trailers",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+        b"X: aaaaaaaa\r\n" * 80,
+    ),
+    ("no HTTP", b"", b"\xff" * 1000),
+]
+# More than the limit and the buffers of both sockets together.
+MAX_ENDLESS_BYTES = 16 * 1024 * 1024
+
+
+class EndlessServer:
+    """Server whose response never ends; counts the bytes that it could send."""
+
+    def __init__(self, begin: bytes, repeated: bytes) -> None:
+        self._begin = begin
+        self._repeated = repeated
+        self.sent_bytes = 0
+        self.closed = asyncio.Event()
+
+    async def start(self) -> ConnectionPool:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        return ConnectionPool("127.0.0.1", port, PoolLimits())
+
+    async def close(self) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(self._begin)
+        try:
+            while self.sent_bytes < MAX_ENDLESS_BYTES:
+                writer.write(self._repeated)
+                self.sent_bytes += len(self._repeated)
+                await writer.drain()
+        except ConnectionError:
+            self.closed.set()
+        finally:
+            writer.close()
+
+
+class TestEndlessResponses:
+    # Guards against: a server sends bytes that are no response without end, and the
+    # entry keeps them in memory until the caller's deadline.
+    @pytest.mark.parametrize(("name", "begin", "repeated"), ENDLESS_RESPONSES)
+    async def test_connection_is_closed(self, name, begin, repeated):
+        server = EndlessServer(begin, repeated)
+        pool = await server.start()
+        with pytest.raises(ConnectionFailed):
+            await _send_request(pool)
+        await asyncio.wait_for(server.closed.wait(), 1.0)
+        assert server.sent_bytes < MAX_ENDLESS_BYTES
+        assert pool.open_connections == 0
+        await server.close()
+
+    async def test_body_is_read_no_faster_than_it_is_used(self):
+        begin = b"HTTP/1.1 200 OK\r\n\r\n"
+        server = EndlessServer(begin, b"a" * 1000)
+        pool = await server.start()
+        acquired = await pool.acquire()
+        acquired.connection.send(REQUEST)
+        await acquired.connection.read_head()
+        await asyncio.sleep(0.2)
+        assert server.sent_bytes < MAX_ENDLESS_BYTES
+        acquired.connection.close()
+        pool.release(acquired.connection)
+        await server.close()
+
+    async def test_buffered_body_has_a_limit(self):
+        server = EndlessServer(b"HTTP/1.1 200 OK\r\n\r\n", b"a" * 100_000)
+        pool = await server.start()
+        with pytest.raises(ConnectionFailed):
+            await exchange(pool, REQUEST, 1.0, 1.0, max_body_bytes=1_000_000)
+        await asyncio.wait_for(server.closed.wait(), 1.0)
+        assert pool.open_connections == 0
+        await server.close()
+
+
 class TestConnectionPool:
     async def test_reuses_an_idle_connection(self):
         server = ScriptedServer(OK_RESPONSE, OK_RESPONSE)
