Limit the size of a buffered response, and test responses without length or end

What callers saw: 504 at their deadline, after the entry had kept a response without an end in memory. Cause: Attempt.read_body had no limit. Change: at most 8 MiB, then the attempt has failed: an idempotent request is sent elsewhere, another one gets 502 at once.

--- a/gentianhoist/dispatch/_attempt.py
+++ b/gentianhoist/dispatch/_attempt.py
@@ -24,6 +24,10 @@
 __all__ = ["Attempt", "AttemptFailed", "Execution", "StreamProgress"]
 
 
+# Limit of a body that is buffered; streams are passed on event by event.
+_MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
 class Execution(Enum):
     """Whether a request may have run when an attempt gave no usable response."""
 
@@ -196,11 +200,18 @@
         """Read the complete body.
 
         Raises:
-            AttemptFailed: If the connection fails before the end.
+            AttemptFailed: If the connection fails before the end, or the body exceeds
+                the size limit.
         """
         parts = []
+        size_bytes = 0
         while data := await self.read_chunk():
             parts.append(data)
+            size_bytes += len(data)
+            if size_bytes > _MAX_BODY_BYTES:
+                raise AttemptFailed(
+                    Execution.UNKNOWN, "the body exceeds the size limit"
+                )
         return b"".join(parts)
 
     async def read_chunk(self) -> bytes:
--- /dev/null
+++ b/tests/platform_adapter/test_answers.py
@@ -0,0 +1,82 @@
+"""Responses of servers without a length, broken off, or without an end."""
+
+import asyncio
+import time
+
+import pytest
+
+from gentianhoist_platform.standins import RawResponse
+
+STREAM = b"".join(b"id: %d\ndata: x%d\n\n" % (i, i) for i in range(1, 6))
+PROMPT = {"Token_Count": "5000,100"}
+# Less than the caller's timeout, which a response without an end must not use up.
+PROMPT_FAILURE_S = 1.5
+
+
+def set_raw(deployment, raw: RawResponse, *ids: str) -> None:
+    for id_ in ids:
+        deployment.servers[id_].faults.raw_response = raw
+
+
+class TestWithoutLength:
+    """The response has neither a length nor chunks, and ends with its connection."""
+
+    async def test_response_is_complete_at_the_close(self, deployment):
+        set_raw(deployment, RawResponse(b"done"), "d0", "d1")
+        status, headers, body = await deployment.send("/press/x", "p1")
+        assert (status, body) == (200, b"done")
+        assert headers["Content-Length"] == "4"
+
+    async def test_stream_is_complete_at_the_close(self, deployment):
+        set_raw(deployment, RawResponse(STREAM), "e0", "e1")
+        status, _, body = await deployment.send("/brief/x", "s1", **PROMPT)
+        assert (status, body) == (200, STREAM)
+
+    async def test_response_that_is_reset_is_not_complete(self, deployment):
+        set_raw(deployment, RawResponse(b"do", is_reset=True), "d0", "d1")
+        status, _, _ = await deployment.send("/press/x", "p1")
+        assert status == 502
+        runs = [server.runs["p1"] for server in deployment.servers.values()]
+        assert sum(runs) == 1
+
+    async def test_response_that_is_reset_is_repeated_elsewhere(self, deployment):
+        set_raw(deployment, RawResponse(b"do", is_reset=True), "d0")
+        for number in range(4):
+            status, _, body = await deployment.send("/look/x", f"l{number}")
+            assert (status, body) == (200, b"done")
+
+    @pytest.mark.parametrize("is_reset", [False, True])
+    @pytest.mark.parametrize("cut", [len(STREAM) - 1, len(STREAM) - 9, 20, 3])
+    async def test_stream_that_ends_inside_an_event_is_resumed(
+        self, deployment, cut, is_reset
+    ):
+        # Guards against: a stream that was broken off is passed on as complete.
+        set_raw(deployment, RawResponse(STREAM[:cut], is_reset=is_reset), "e0")
+        for number in range(4):
+            status, _, body = await deployment.send("/brief/x", f"s{number}", **PROMPT)
+            assert (status, body) == (200, STREAM)
+
+
+class TestWithoutEnd:
+    """The server sends bytes that are no response until its caller closes."""
+
+    @pytest.mark.parametrize("repeated", [b"a" * 1000, b"data: x\n" * 100])
+    async def test_stream_is_resumed_elsewhere(self, deployment, repeated):
+        set_raw(deployment, RawResponse(STREAM[:20], repeated), "e0")
+        for number in range(3):
+            status, _, body = await deployment.send("/brief/x", f"s{number}", **PROMPT)
+            assert (status, body) == (200, STREAM)
+
+    async def test_response_is_repeated_elsewhere(self, deployment):
+        set_raw(deployment, RawResponse(b"", b"a" * 100_000), "d0")
+        for number in range(3):
+            status, _, body = await deployment.send("/look/x", f"l{number}")
+            assert (status, body) == (200, b"done")
+
+    async def test_non_idempotent_request_fails_at_once(self, deployment):
+        # Guards against: the entry buffers such a response until the caller's deadline.
+        set_raw(deployment, RawResponse(b"", b"a" * 100_000), "d0", "d1")
+        began_s = time.monotonic()
+        status, _, _ = await asyncio.wait_for(deployment.send("/press/x", "p1"), 5.0)
+        assert status == 502
+        assert time.monotonic() - began_s < PROMPT_FAILURE_S
