--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -10,8 +10,6 @@
 import os
 import secrets
 import socket
-from collections.abc import Iterable, Mapping
-from typing import NamedTuple, Protocol
 
 from gentianhoist.clocks import Clock, SystemClock
 from gentianhoist.dispatch import (
@@ -19,32 +17,26 @@
     Dispatcher,
     DispatchPolicy,
     DispatchState,
-    KvReservationClient,
-    ServerCodec,
     send_error_response,
 )
 from gentianhoist.exceptions import HoistError
 from gentianhoist.fleet import (
-    ChangeFeed,
     EntryRegistry,
-    EntryRows,
     FeedRow,
     FollowPolicy,
-    RoutingConfiguration,
-    ServerListing,
     TableFollower,
 )
+from gentianhoist.gateway._adapter import GatewayAdapter, GatewaySettings
 from gentianhoist.http1 import CallerRequest, HttpServer, Responder
 from gentianhoist.peers import PeerLink, PeerTableExchange
 from gentianhoist.quarantine import (
     ConnectionProbe,
     PromptQuarantine,
-    QuarantineRows,
     SegmentQuarantine,
 )
 from gentianhoist.telemetry import DecisionLog, EntryMetrics
 
-__all__ = ["GatewayAdapter", "Gateway", "GatewaySettings", "OperatorView"]
+__all__ = ["Gateway"]
 
 _EXPIRY_INTERVAL_S = 0.25
 # Minimum time after the start that requests are held until the tables are loaded.
@@ -58,99 +50,6 @@
 _QUARANTINE_FEED_POLICY = FollowPolicy(long_poll_s=8.0, snapshot_interval_s=30.0)
 
 
-class GatewaySettings(NamedTuple):
-    """Listening addresses, timeouts and policies of an entry.
-
-    Attributes:
-        name: Name of the instance.
-        availability_zone: Availability zone of the instance.
-        host: IP address on which the entry serves callers, peers and metrics.
-        callers_port: TCP port for callers.
-        readiness_host: IP address of the readiness endpoint.
-        readiness_port: TCP port of the readiness endpoint.
-        peers_port: Port for messages and table copies between entries.
-        metrics_port: TCP port of the metrics endpoint.
-        grace_s: Seconds from the stop signal until the platform kills the process.
-        operators_feed_policy: Polling intervals and timeouts for the operators' table.
-        servers_feed_policy: Polling intervals and timeouts for the server directory.
-        dispatch_policy: Retry, queue and placement policy of requests.
-        drain_listen_s: Seconds after the stop signal in which new requests are served,
-            because the load balancer needs time to notice that the entry drains.
-    """
-
-    name: str
-    availability_zone: str
-    host: str
-    callers_port: int
-    readiness_host: str
-    readiness_port: int
-    peers_port: int
-    metrics_port: int
-    grace_s: float
-    operators_feed_policy: FollowPolicy
-    servers_feed_policy: FollowPolicy
-    dispatch_policy: DispatchPolicy
-    drain_listen_s: float = 3.2
-
-
-class OperatorView(NamedTuple):
-    """Decoded rows of the operators' table.
-
-    Attributes:
-        configuration: The routing configuration, or None if it is absent or invalid.
-        zones_out: Availability zones that operators have taken out of service.
-    """
-
-    configuration: RoutingConfiguration | None
-    zones_out: frozenset[str]
-
-
-class GatewayAdapter(Protocol):
-    """Translation between the product's types and the protocols of a platform.
-
-    Attributes:
-        codec: Encoder of requests to backend servers and decoder of their responses.
-        operators_feed: Change feed of the operators' table.
-        servers_feed: Change feed of the directory of backend servers.
-        quarantine_feed: Change feed of the quarantine's records.
-        entry_rows: Rows of the store through which entries discover each other.
-        quarantine_rows: Rows of the store that hold the quarantine's records.
-    """
-
-    codec: ServerCodec
-    operators_feed: ChangeFeed
-    servers_feed: ChangeFeed
-    quarantine_feed: ChangeFeed
-    entry_rows: EntryRows
-    quarantine_rows: QuarantineRows
-
-    def decode_call(self, request: CallerRequest) -> Call:
-        """Decode a caller's request.
-
-        Raises:
-            HoistError: If a field is missing or invalid.
-        """
-        ...
-
-    def decode_operators(self, rows: Mapping[str, FeedRow]) -> OperatorView:
-        """Decode all rows of the operators' table, given by key."""
-        ...
-
-    def decode_servers(
-        self, rows: Iterable[FeedRow], now_s: float
-    ) -> list[ServerListing]:
-        """Decode rows of the server directory at `now_s` on the entry's clock."""
-        ...
-
-    def create_kv_reservations(self, state: DispatchState) -> KvReservationClient:
-        """Create the client for KV cache reservations; it shares `state`'s pools."""
-        ...
-
-    async def close(self) -> None:
-        """Close the connections to the store."""
-        ...
-
-
 class Gateway:
     """Entry process of an external platform: serves callers and follows the store.
 
--- a/gentianhoist/peers/__init__.py
+++ b/gentianhoist/peers/__init__.py
@@ -6,12 +6,13 @@
     CommitmentEnded,
     FirstEventReceived,
 )
-from gentianhoist.peers._tables import PeerTableExchange
-from gentianhoist.peers.core import (
+from gentianhoist.peers._publishers import (
     CommitmentPublisher,
     NullCommitmentPublisher,
-    PeerLink,
+    QuarantineListener,
 )
+from gentianhoist.peers._tables import PeerTableExchange
+from gentianhoist.peers.core import PeerLink
 
 __all__ = [
     "Batch",
@@ -21,5 +22,6 @@
     "NullCommitmentPublisher",
     "PeerLink",
     "PeerTableExchange",
+    "QuarantineListener",
     "FirstEventReceived",
 ]
--- /dev/null
+++ b/gentianhoist/peers/_publishers.py
@@ -0,0 +1,78 @@
+"""Interfaces between the exchange with other entries and the rest of an entry."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Protocol
+
+from gentianhoist.placement import Commitment
+from gentianhoist.quarantine import EngineLoss, QuarantineRecord
+
+__all__ = ["CommitmentPublisher", "NullCommitmentPublisher", "QuarantineListener"]
+
+
+class CommitmentPublisher(Protocol):
+    """Publishes the commitments of this entry to other entries."""
+
+    @property
+    def incarnation(self) -> str:
+        """Name of this run of the entry's process, new at each start."""
+        ...
+
+    def publish_added(self, commitment: Commitment, now_s: float) -> None:
+        """Publish that a request is being sent to an engine.
+
+        Args:
+            commitment: What the request takes up on the engine.
+            now_s: Current time on this entry's clock, in seconds.
+        """
+        ...
+
+    def publish_first_event(self, id_: str) -> None:
+        """Publish that the first event of a stream has arrived."""
+        ...
+
+    def publish_ended(self, id_: str) -> None:
+        """Publish that a request has ended on all its engines."""
+        ...
+
+
+class QuarantineListener(Protocol):
+    """Receives what other entries publish about segments that crash engines."""
+
+    @property
+    def records(self) -> list[QuarantineRecord]:
+        """Records that are repeated to the other entries."""
+        ...
+
+    def receive_loss(self, loss: EngineLoss) -> None:
+        """Take the loss of an engine."""
+        ...
+
+    def receive_completed(self, segments: Iterable[str], sent_s: float) -> None:
+        """Take a prompt that was completed."""
+        ...
+
+    def receive_record(self, record: QuarantineRecord) -> None:
+        """Take a record of a segment."""
+        ...
+
+
+class NullCommitmentPublisher:
+    """Publishes nothing, for an entry without peers.
+
+    Args:
+        incarnation: Name of this run of the entry's process.
+    """
+
+    def __init__(self, incarnation: str) -> None:
+        self.incarnation = incarnation
+
+    def publish_added(self, commitment: Commitment, now_s: float) -> None:
+        """Do nothing."""
+
+    def publish_first_event(self, id_: str) -> None:
+        """Do nothing."""
+
+    def publish_ended(self, id_: str) -> None:
+        """Do nothing."""
--- a/gentianhoist/peers/core.py
+++ b/gentianhoist/peers/core.py
@@ -6,7 +6,6 @@
 import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
-from typing import Protocol
 
 import msgspec
 
@@ -22,10 +21,11 @@
     SegmentRecorded,
     SyncRequest,
 )
+from gentianhoist.peers._publishers import QuarantineListener
 from gentianhoist.placement import Commitment, CommitmentLedger
 from gentianhoist.quarantine import EngineLoss, QuarantineRecord
 
-__all__ = ["CommitmentPublisher", "NullCommitmentPublisher", "PeerLink"]
+__all__ = ["PeerLink"]
 
 _log = logging.getLogger(__name__)
 
@@ -41,73 +41,6 @@
 _RECORDS_INTERVAL_S = 1.0
 
 
-class CommitmentPublisher(Protocol):
-    """Publishes the commitments of this entry to other entries."""
-
-    @property
-    def incarnation(self) -> str:
-        """Name of this run of the entry's process, new at each start."""
-        ...
-
-    def publish_added(self, commitment: Commitment, now_s: float) -> None:
-        """Publish that a request is being sent to an engine.
-
-        Args:
-            commitment: What the request takes up on the engine.
-            now_s: Current time on this entry's clock, in seconds.
-        """
-        ...
-
-    def publish_first_event(self, id_: str) -> None:
-        """Publish that the first event of a stream has arrived."""
-        ...
-
-    def publish_ended(self, id_: str) -> None:
-        """Publish that a request has ended on all its engines."""
-        ...
-
-
-class QuarantineListener(Protocol):
-    """Receives what other entries publish about segments that crash engines."""
-
-    @property
-    def records(self) -> list[QuarantineRecord]:
-        """Records that are repeated to the other entries."""
-        ...
-
-    def receive_loss(self, loss: EngineLoss) -> None:
-        """Take the loss of an engine."""
-        ...
-
-    def receive_completed(self, segments: Iterable[str], sent_s: float) -> None:
-        """Take a prompt that was completed."""
-        ...
-
-    def receive_record(self, record: QuarantineRecord) -> None:
-        """Take a record of a segment."""
-        ...
-
-
-class NullCommitmentPublisher:
-    """Publishes nothing, for an entry without peers.
-
-    Args:
-        incarnation: Name of this run of the entry's process.
-    """
-
-    def __init__(self, incarnation: str) -> None:
-        self.incarnation = incarnation
-
-    def publish_added(self, commitment: Commitment, now_s: float) -> None:
-        """Do nothing."""
-
-    def publish_first_event(self, id_: str) -> None:
-        """Do nothing."""
-
-    def publish_ended(self, id_: str) -> None:
-        """Do nothing."""
-
-
 @dataclass
 class _Peer:
     """One incarnation of another entry, and the ids of its current commitments."""
--- a/gentianhoist/quarantine/__init__.py
+++ b/gentianhoist/quarantine/__init__.py
@@ -6,6 +6,12 @@
 """
 
 from gentianhoist.quarantine._evidence import EngineLoss, LossLog
+from gentianhoist.quarantine._interfaces import (
+    NullQuarantinePublisher,
+    QuarantinePublisher,
+    QuarantineRows,
+    ServerProbe,
+)
 from gentianhoist.quarantine._probe import ConnectionProbe
 from gentianhoist.quarantine._records import (
     QuarantineRecord,
@@ -13,14 +19,7 @@
     decode_record,
     encode_record,
 )
-from gentianhoist.quarantine._service import (
-    NullQuarantinePublisher,
-    PromptQuarantine,
-    QuarantinePublisher,
-    QuarantineRows,
-    ServerProbe,
-    refusal_error,
-)
+from gentianhoist.quarantine._service import PromptQuarantine, refusal_error
 from gentianhoist.quarantine.core import (
     Admitted,
     QuarantinePolicy,
--- a/gentianhoist/quarantine/_evidence.py
+++ b/gentianhoist/quarantine/_evidence.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
-__all__ = ["EngineLoss", "LossLog"]
+__all__ = ["EngineLoss", "LossLog", "SuspectedLoss", "count_incidents"]
 
 # Reports about one engine within this time are about the same loss. A crashed engine
 # takes longer than that to be back.
@@ -41,6 +41,18 @@
         return self._replace(prompts=kept)
 
 
+class SuspectedLoss(NamedTuple):
+    """A loss, and what may have caused it.
+
+    Attributes:
+        lost_s: Time of the loss on the entry's monotonic clock, in seconds.
+        suspects: Segments of its prompts that nothing clears.
+    """
+
+    lost_s: float
+    suspects: frozenset[str]
+
+
 class LossLog:
     """Recent losses of engines, and the segments of prompts that were completed.
 
@@ -94,9 +106,29 @@
         """Whether a prompt with the segment is known to have been completed."""
         return segment in self._completed_sent_s
 
-    def segments(self) -> set[str]:
-        """All segments of the prompts of all losses."""
-        return set(self._by_segment)
+    def unexplained(self, held: frozenset[str], min_losses: int) -> list[SuspectedLoss]:
+        """Losses that no held segment explains, with the segments that may.
+
+        Args:
+            held: Segments whose prompts explain the loss of an engine.
+            min_losses: Segments in fewer losses than that are left out.
+        """
+        frequent = {
+            segment
+            for segment, losses in self._by_segment.items()
+            if len(losses) >= min_losses
+        }
+        suspected = []
+        for loss in self._losses.values():
+            segments = set().union(*loss.prompts)
+            if segments.isdisjoint(held):
+                suspects = frozenset(
+                    segment
+                    for segment in segments & frequent
+                    if loss.lost_s > self._refuted_until_s(segment)
+                )
+                suspected.append(SuspectedLoss(loss.lost_s, suspects))
+        return suspected
 
     def unrefuted_s(self, segment: str, held: frozenset[str]) -> list[float]:
         """Times of the losses that the segment may have caused, in order.
@@ -109,7 +141,7 @@
             Times of the losses that no held segment explains, and that are later than
             every completed prompt with the segment was sent.
         """
-        refuted_until_s = self._completed_sent_s.get(segment, float("-inf"))
+        refuted_until_s = self._refuted_until_s(segment)
         return sorted(
             loss.lost_s
             for loss in self._by_segment.get(segment, ())
@@ -122,13 +154,7 @@
 
         It counts the losses of `unrefuted_s`, those at the same moment once.
         """
-        count = 0
-        incident_s = float("-inf")
-        for lost_s in self.unrefuted_s(segment, held):
-            if lost_s - incident_s >= _SAME_INCIDENT_S:
-                count += 1
-                incident_s = lost_s
-        return count
+        return count_incidents(self.unrefuted_s(segment, held))
 
     def depth(self, segment: str) -> int:
         """Largest position of the segment in the prompts of the losses."""
@@ -148,6 +174,9 @@
                 return key
         return None
 
+    def _refuted_until_s(self, segment: str) -> float:
+        return self._completed_sent_s.get(segment, float("-inf"))
+
     def _index(self) -> dict[str, list[EngineLoss]]:
         by_segment: dict[str, list[EngineLoss]] = {}
         for loss in self._losses.values():
@@ -159,3 +188,19 @@
         for key in list(self._losses):
             if now_s - key[1] > _MAX_LOSS_AGE_S:
                 del self._losses[key]
+
+
+def count_incidents(times_s: list[float]) -> int:
+    """Number of incidents in which losses happened; those at the same moment are one.
+
+    Example:
+        >>> count_incidents([7.0, 1.0, 1.05, 1.15])
+        3
+    """
+    count = 0
+    incident_s = float("-inf")
+    for lost_s in sorted(times_s):
+        if lost_s - incident_s >= _SAME_INCIDENT_S:
+            count += 1
+            incident_s = lost_s
+    return count
--- a/gentianhoist/quarantine/core.py
+++ b/gentianhoist/quarantine/core.py
@@ -7,7 +7,12 @@
 from enum import Enum
 from typing import NamedTuple
 
-from gentianhoist.quarantine._evidence import EngineLoss, LossLog
+from gentianhoist.quarantine._evidence import (
+    EngineLoss,
+    LossLog,
+    SuspectedLoss,
+    count_incidents,
+)
 from gentianhoist.quarantine._records import QuarantineRecord, QuarantineState
 
 __all__ = [
@@ -251,17 +256,23 @@
         explaining = frozenset(
             item for item in self.held if not self._has_evidence(item)
         )
-        blamed: frozenset[str] = frozenset()
-        while (segment := self._prime_suspect(explaining | blamed)) is not None:
-            blamed |= {segment}
-        return blamed
-
-    def _prime_suspect(self, explaining: frozenset[str]) -> str | None:
+        losses = self._losses.unexplained(explaining, self._policy.hold_after_incidents)
+        blamed = set()
+        while (segment := self._prime_suspect(losses)) is not None:
+            blamed.add(segment)
+            losses = [loss for loss in losses if segment not in loss.suspects]
+        return frozenset(blamed)
+
+    def _prime_suspect(self, losses: list[SuspectedLoss]) -> str | None:
         """The segment that most probably caused the losses not explained yet."""
+        times_s: dict[str, list[float]] = {}
+        for loss in losses:
+            for segment in loss.suspects:
+                times_s.setdefault(segment, []).append(loss.lost_s)
         suspects = [
             segment
-            for segment in self._losses.segments() - explaining
-            if self._has_evidence(segment, explaining)
+            for segment, times in times_s.items()
+            if count_incidents(times) >= self._needed_incidents(segment)
         ]
         # First a segment that no completed prompt had. Then the deepest, which the
         # fewest prompts share: what it explains counts for the others no longer.
@@ -275,14 +286,15 @@
             default=None,
         )
 
-    def _has_evidence(
-        self, segment: str, explaining: frozenset[str] = frozenset()
-    ) -> bool:
-        """Whether there are enough losses that no explaining segment accounts for."""
-        needed = self._policy.hold_after_incidents
+    def _has_evidence(self, segment: str) -> bool:
+        """Whether there are enough losses that the segment may have caused."""
+        count = self._losses.incidents(segment, frozenset())
+        return count >= self._needed_incidents(segment)
+
+    def _needed_incidents(self, segment: str) -> int:
         if self._losses.was_completed(segment):
-            needed = self._policy.hold_completed_after_incidents
-        return self._losses.incidents(segment, explaining) >= needed
+            return self._policy.hold_completed_after_incidents
+        return self._policy.hold_after_incidents
 
     def _is_cleared(self, segment: str) -> bool:
         """Whether other segments explain why this one was held.
