Show the engine crashes on the product's own interface, listed as red

CompletionDispatcher sends a generation to up to limits.attempts engines and keeps nothing of why the ones before crashed; the sidecar reports a crash as any other failure.

--- a/tests/entry/test_failures.py
+++ b/tests/entry/test_failures.py
@@ -231,3 +231,18 @@
 async def _silent_frames():
     await asyncio.sleep(30)
     yield None
+
+
+async def test_prompts_that_crash_engines_stop_reaching_them(own_fleet):
+    """Guards against: prompts with the same beginning crash one engine after another.
+
+    The users' bound: after the fifth crash, three such prompts may reach engines.
+    """
+    for engine in own_fleet.engines:
+        engine.faults.deadly_text = "deadly"
+    beginning = "A deadly beginning that several prompts share. " * 40
+    for number in range(45):
+        await complete(own_fleet, f"{beginning}{number}", number % 2, tokens=5)
+        await asyncio.sleep(0.2)
+    crashes = [engine.crashes for engine in own_fleet.engines]
+    assert sum(crashes) <= 5 + 3, crashes
