Test the quarantine's messages between entries and its rows in the store

Cause: only end-to-end tests covered them. Change: tests for evidence with its age, records repeated in turn, records for a new entry, conditional writes, a lost answer.

--- a/tests/peers/test_core.py
+++ b/tests/peers/test_core.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import pytest
+
 from gentianhoist.clocks import ManualClock
 from gentianhoist.peers import PeerLink
 from gentianhoist.placement import Commitment, CommitmentLedger
+from gentianhoist.quarantine import EngineLoss, QuarantineRecord, QuarantineState
 
 
 def _commitment(id_: str, server_id: str = "engine-1") -> Commitment:
@@ -133,3 +136,71 @@
         first, _, _, _ = await self._make_pair(ManualClock())
         first.datagram_received(b"\xff\x00", ("10.0.0.9", 7340))
         assert "10.0.0.9" not in first.peers
+
+
+class _FakeQuarantine:
+    """Holds records, and notes what arrives from other entries."""
+
+    def __init__(self, *records: QuarantineRecord) -> None:
+        self.records = list(records)
+        self.losses: list[EngineLoss] = []
+        self.completed: list[tuple[list[str], float]] = []
+
+    def receive_loss(self, loss: EngineLoss) -> None:
+        self.losses.append(loss)
+
+    def receive_completed(self, segments, sent_s: float) -> None:
+        self.completed.append((list(segments), sent_s))
+
+    def receive_record(self, record: QuarantineRecord) -> None:
+        self.records.append(record)
+
+
+def _record(number: int) -> QuarantineRecord:
+    return QuarantineRecord(f"{number:x}", QuarantineState.HELD, 1, 0, 10_000)
+
+
+class TestQuarantineMessages:
+    def _make_pair(self, *records: QuarantineRecord):
+        """Two links whose clocks differ by 100 s, with a quarantine each."""
+        clocks = ManualClock(5.0), ManualClock(105.0)
+        first, transport = _make_link("a-1", "10.0.0.1", clocks[0])
+        second, second_transport = _make_link("b-1", "10.0.0.2", clocks[1])
+        quarantines = _FakeQuarantine(*records), _FakeQuarantine()
+        first.set_quarantine(quarantines[0])
+        second.set_quarantine(quarantines[1])
+        links = {"10.0.0.1": first, "10.0.0.2": second}
+        return first, second, (transport, second_transport), quarantines[1], links
+
+    async def test_evidence_arrives_with_its_age(self):
+        first, _, transports, quarantine, links = self._make_pair()
+        first.set_peers(links)
+        loss = EngineLoss("e1/7", 4.0, frozenset({("aa", "dd"), ("aa",)}))
+        first.publish_loss(loss)
+        first.publish_completed(("aa",), 4.5)
+        await asyncio.sleep(0.01)
+        _deliver(transports[0], "10.0.0.1", links)
+        (received,) = quarantine.losses
+        assert received.prompts == loss.prompts
+        assert received.lost_s == pytest.approx(104.0)
+        assert quarantine.completed == [(["aa"], pytest.approx(104.5))]
+
+    async def test_records_are_repeated_in_turn(self):
+        # Guards against: the one datagram that told of a record is lost.
+        records = [_record(number) for number in range(30)]
+        first, _, transports, quarantine, links = self._make_pair(*records)
+        first.set_peers(links)
+        transports[0].sent.clear()
+        for _ in range(5):
+            first._clock.advance(1.1)
+            first.tick(first._clock.monotonic_s())
+            _deliver(transports[0], "10.0.0.1", links)
+        assert set(quarantine.records) == set(records)
+
+    async def test_new_entry_receives_all_records(self):
+        records = [_record(number) for number in range(30)]
+        _, second, transports, quarantine, links = self._make_pair(*records)
+        second.set_peers(links)
+        _deliver(transports[1], "10.0.0.2", links)
+        _deliver(transports[0], "10.0.0.1", links)
+        assert set(quarantine.records) == set(records)
--- a/tests/platform_adapter/test_store.py
+++ b/tests/platform_adapter/test_store.py
@@ -4,8 +4,15 @@
 
 import pytest
 
+from gentianhoist.store import ConditionFailed, StoreInDoubt
 from gentianhoist_platform.standins import StoreStandin
-from gentianhoist_platform.store import PlatformEntryRows, PlatformStore, PlatformTable
+from gentianhoist_platform.store import (
+    QUARANTINE_TABLE,
+    PlatformEntryRows,
+    PlatformQuarantineRows,
+    PlatformStore,
+    PlatformTable,
+)
 
 _NOW_MS = time.monotonic() * 1000.0
 _STALE = b"%d" % (_NOW_MS - 600_000)
@@ -63,3 +70,29 @@
         standin.put("servers", f"i-{number:04}", b"{}")
     page = await PlatformTable(client, "servers").read(1.0)
     assert len({row.key for row in page.rows}) == 1_100
+
+
+class TestQuarantineRows:
+    async def test_only_one_of_two_writers_replaces_a_row(self, store):
+        _, client = store
+        rows = PlatformQuarantineRows(client)
+        await rows.write("dd", b"1", 0)
+        with pytest.raises(ConditionFailed):
+            await rows.write("dd", b"2", 0)
+        (row,) = (await PlatformTable(client, QUARANTINE_TABLE).read(1.0)).rows
+        await rows.write("dd", b"3", row.version)
+        with pytest.raises(ConditionFailed):
+            await rows.write("dd", b"4", row.version)
+        with pytest.raises(ConditionFailed):
+            await rows.remove("dd", row.version)
+        (row,) = (await PlatformTable(client, QUARANTINE_TABLE).read(1.0)).rows
+        assert row.value == b"3"
+        await rows.remove("dd", row.version)
+        assert not (await PlatformTable(client, QUARANTINE_TABLE).read(1.0)).rows
+
+    async def test_lost_answer_leaves_it_in_doubt(self, store):
+        standin, client = store
+        standin.faults.lose_answers = 1
+        with pytest.raises(StoreInDoubt):
+            await PlatformQuarantineRows(client).write("dd", b"1", 0)
+        assert standin.keys(QUARANTINE_TABLE) == ["dd"]
