Send the trial of a held segment to an idle engine, and test the dispatcher's part

Cause: streams gather on few engines on purpose, and a trial that crashes its engine takes the streams there with it. Change: a trial goes to the engines with the fewest requests, if they can take it.

--- a/gentianhoist/dispatch/_prompt_placer.py
+++ b/gentianhoist/dispatch/_prompt_placer.py
@@ -240,14 +240,7 @@
         now_s = self._dispatcher.clock.monotonic_s()
         demand = self._demand()
         rule = self._state.policy.placement_rule
-        placement = place(
-            rule,
-            demand,
-            self._candidates(),
-            self._profile(),
-            now_s,
-            self._state.rng,
-        )
+        placement = self._choose_engines(demand, now_s)
         if placement is None:
             return UnplacedReason.NO_CAPACITY
         if should_wait(rule, demand, placement, self._slack_s(demand)):
@@ -260,6 +253,19 @@
         )
         return placement
 
+    def _choose_engines(self, demand: Demand, now_s: float) -> Placement | None:
+        rule = self._state.policy.placement_rule
+        profile = self._profile()
+        rng = self._state.rng
+        candidates = self._candidates()
+        if self._sender.is_trial:
+            # The prompt may crash its engine, and other streams there would be lost.
+            idle = _least_loaded(candidates)
+            placement = place(rule, demand, idle, profile, now_s, rng)
+            if placement is not None:
+                return placement
+        return place(rule, demand, candidates, profile, now_s, rng)
+
     def _candidates(self) -> list[Candidate]:
         now_s = self._dispatcher.clock.monotonic_s()
         group = self._sender.group
@@ -447,3 +453,9 @@
             directory_age_s=round(self._state.directory.age_s(now_s), 3),
             configuration=self._request.configuration_version,
         )
+
+
+def _least_loaded(candidates: list[Candidate]) -> list[Candidate]:
+    """The candidates with the fewest requests."""
+    fewest = min((item.load.requests for item in candidates), default=0)
+    return [item for item in candidates if item.load.requests == fewest]
--- a/gentianhoist/dispatch/_sender.py
+++ b/gentianhoist/dispatch/_sender.py
@@ -235,6 +235,11 @@
             return HoistError(ErrorKind.BACKEND_FAILED, failure.reason)
         return self.no_server_error(failure.reason)
 
+    @property
+    def is_trial(self) -> bool:
+        """Whether the request is the trial of a quarantined prompt segment."""
+        return False
+
     def quarantine_refusal(self) -> Refused | None:
         """Why the request may not be sent to any server now, or None."""
         return None
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -108,6 +108,11 @@
             return "a segment of the prompt is held"
         return super().refusal_reason(server)
 
+    @property
+    def is_trial(self) -> bool:
+        """Whether the prompt is the trial of a segment that is held otherwise."""
+        return self._is_trial
+
     def quarantine_refusal(self) -> Refused | None:
         """Why the prompt may not be sent to any engine now, or None."""
         if self._is_trial:
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -64,6 +64,7 @@
     RUN_LATE = "runs it after one second and sends no response"
     SLOW = "runs it and answers after 1.4 seconds"
     FORGET_RESUMING = "ignores the last event id and answers from the start"
+    SLOW_RESET = "runs it and resets after 1.4 seconds"
     LONG_PREFILL = "runs it and answers after 4 seconds"
     DIE = "loses power after receiving it and never responds again"
 
@@ -107,9 +108,11 @@
 
     def send(self, data: bytes, *, head_only: bool = False) -> None:
         self._server_state.sends += 1
-        work_s = {ServerBehaviour.SLOW: 1.4, ServerBehaviour.LONG_PREFILL: 4.0}.get(
-            self._behaviour, 0.01
-        )
+        work_s = {
+            ServerBehaviour.SLOW: 1.4,
+            ServerBehaviour.SLOW_RESET: 1.4,
+            ServerBehaviour.LONG_PREFILL: 4.0,
+        }.get(self._behaviour, 0.01)
         self._ready_s = asyncio.get_running_loop().time() + work_s
         if data and self._behaviour is not ServerBehaviour.FORGET_RESUMING:
             self._parts = self._parts[int(data) :]
@@ -122,6 +125,7 @@
             ServerBehaviour.OTHER_FIRST,
             ServerBehaviour.CUT,
             ServerBehaviour.SLOW,
+            ServerBehaviour.SLOW_RESET,
             ServerBehaviour.LONG_PREFILL,
             ServerBehaviour.FORGET_RESUMING,
         }:
@@ -152,6 +156,8 @@
         )
         loop = asyncio.get_running_loop()
         await asyncio.sleep(max(0.0, self._ready_s - loop.time()))
+        if self._behaviour is ServerBehaviour.SLOW_RESET:
+            raise ConnectionFailed("reset", sent=True)
         return ResponseHead(status, [(b"does", self._behaviour.value.encode())])
 
     async def read_data(self) -> bytes:
