Break the circle of imports in dispatch/

Change: DispatchContext holds what all requests share, and matches them with the configuration; the placer names what it needs as a protocol; KV reservations have a module of their own. No decision changes, but that a retry is no longer drawn from the budget for a prompt whose segment is held by then.

--- a/gentianhoist/dispatch/__init__.py
+++ b/gentianhoist/dispatch/__init__.py
@@ -1,6 +1,7 @@
 """Handles a caller's request from admission to its single response."""
 
 from gentianhoist.dispatch._attempt import AttemptFailed, Execution
+from gentianhoist.dispatch._context import DispatchContext
 from gentianhoist.dispatch._error_response import send_error_response
 from gentianhoist.dispatch._interfaces import (
     Call,
@@ -11,12 +12,14 @@
     ServerCodec,
     ServerResponse,
 )
-from gentianhoist.dispatch.core import Dispatcher, DispatchPolicy, DispatchState
+from gentianhoist.dispatch._state import DispatchPolicy, DispatchState
+from gentianhoist.dispatch.core import Dispatcher
 
 __all__ = [
     "ResponseValidity",
     "AttemptFailed",
     "Call",
+    "DispatchContext",
     "DispatchPolicy",
     "DispatchState",
     "Dispatcher",
--- a/gentianhoist/dispatch/_buffered_relay.py
+++ b/gentianhoist/dispatch/_buffered_relay.py
@@ -23,7 +23,7 @@
     """Relays a request whose response isn't a stream.
 
     Args:
-        dispatcher: Dispatcher with the state that all requests share.
+        context: DispatchContext with the state that all requests share.
         request: The admitted request.
         responder: Sends the response to the caller.
     """
@@ -57,7 +57,7 @@
             failed_response = complete
 
     def _choose_server(self) -> BackendServer | None:
-        now_s = self._dispatcher.clock.monotonic_s()
+        now_s = self._context.clock.monotonic_s()
         group = self.group
         ranked = [
             (self._cost(server, now_s), self._state.rng.random(), server)
@@ -113,10 +113,10 @@
     def _record_response(
         self, server: BackendServer, complete: _CompleteResponse, elapsed_s: float
     ) -> None:
-        now_s = self._dispatcher.clock.monotonic_s()
+        now_s = self._context.clock.monotonic_s()
         health = self._state.server_health.get(server.incarnation)
         health.record_success(now_s)
-        self._dispatcher.log.record(
+        self._context.log.record(
             "server_answered",
             self._request.call.id,
             server=server.id,
--- /dev/null
+++ b/gentianhoist/dispatch/_context.py
@@ -0,0 +1,129 @@
+"""What all requests of an entry share, and their match with the configuration."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+
+from gentianhoist.clocks import Clock
+from gentianhoist.dispatch._interfaces import Call, KvReservationClient, ServerCodec
+from gentianhoist.dispatch._queue_scheduler import QueueScanScheduler
+from gentianhoist.dispatch._request import Request
+from gentianhoist.dispatch._state import DispatchState
+from gentianhoist.exceptions import ErrorKind, HoistError
+from gentianhoist.fleet import RoutingConfiguration
+from gentianhoist.peers import CommitmentPublisher
+from gentianhoist.quarantine import PromptQuarantine
+from gentianhoist.telemetry import DecisionLog, EntryMetrics
+
+__all__ = ["DispatchContext"]
+
+
+class DispatchContext:
+    """State, clients and logs that all requests of an entry share.
+
+    Args:
+        state: State that all requests of the entry share.
+        codec: Encodes requests to backend servers and decodes their responses.
+        kv_reservations: Reserves KV cache on engines.
+        peers: Publishes commitments to the other entries.
+        clock: The entry's clock.
+        log: Receives one record for each decision.
+        metrics: Counters and histograms of the entry.
+        quarantine: Keeps prompts that crash engines from them.
+    """
+
+    def __init__(
+        self,
+        state: DispatchState,
+        codec: ServerCodec,
+        kv_reservations: KvReservationClient,
+        peers: CommitmentPublisher,
+        clock: Clock,
+        log: DecisionLog,
+        metrics: EntryMetrics,
+        quarantine: PromptQuarantine,
+    ) -> None:
+        self.state = state
+        self.codec = codec
+        self.kv_reservations = kv_reservations
+        self.peers = peers
+        self.clock = clock
+        self.log = log
+        self.metrics = metrics
+        self.quarantine = quarantine
+        self.queue_scheduler = QueueScanScheduler(state.queue, clock)
+        self._background_tasks: set[asyncio.Task[None]] = set()
+
+    def run_in_background(self, work: Coroutine[None, None, None]) -> None:
+        """Run a coroutine that no request waits for."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._background_tasks.add(task)
+        task.add_done_callback(self._background_tasks.discard)
+
+    def match(self, call: Call, configuration: RoutingConfiguration) -> Request:
+        """Match a request with a configuration.
+
+        Args:
+            call: The caller's request.
+            configuration: The configuration.
+
+        Raises:
+            HoistError: If no route matches, or the API key isn't valid for it.
+        """
+        route = configuration.match_route(call.host, call.path)
+        if route is None:
+            raise HoistError(
+                ErrorKind.UNKNOWN_RESOURCE, "no route matches the host and path"
+            )
+        if not configuration.is_authorised(route, call.api_key):
+            raise HoistError(
+                ErrorKind.UNAUTHENTICATED, "the API key is missing or unknown"
+            )
+        return Request(
+            call=call,
+            route=route,
+            organisation=configuration.organisation(call.api_key),
+            configuration_version=configuration.version,
+            response_margin_s=self.state.policy.response_margin_s,
+        )
+
+    def recheck_configuration(self, request: Request) -> str | None:
+        """Check an unsent request against the current configuration.
+
+        A request that was sent before keeps the configuration that it started with:
+        aborting it would lose a response, which the change doesn't require.
+
+        Returns:
+            Why the request may not be sent as planned, or None.
+        """
+        if request.sends:
+            return None
+        configuration = self.state.routing.current
+        if (
+            configuration is None
+            or configuration.version == request.configuration_version
+        ):
+            return None
+        try:
+            newer = self.match(request.call, configuration)
+        except HoistError as error:
+            return error.message
+        request.configuration_version = newer.configuration_version
+        request.organisation = newer.organisation
+        if newer.route.groups != request.route.groups:
+            request.route = newer.route
+            request.group_name = self.choose_group(request)
+            return "the server groups of the route changed"
+        request.route = newer.route
+        return None
+
+    def choose_group(self, request: Request) -> str:
+        """Choose one of the route's server groups at random, by their weights."""
+        groups = request.route.groups
+        if len(groups) == 1:
+            return groups[0].group
+        weights = [max(0.0, item.weight) for item in groups]
+        if not sum(weights):
+            return groups[0].group
+        return self.state.rng.choices(groups, weights)[0].group
--- a/gentianhoist/dispatch/_prompt_placer.py
+++ b/gentianhoist/dispatch/_prompt_placer.py
@@ -4,14 +4,13 @@
 
 import asyncio
 import itertools
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import Protocol
 
-from gentianhoist.dispatch._interfaces import ReservationStatus
+from gentianhoist.dispatch._context import DispatchContext
+from gentianhoist.dispatch._kv_reserver import KvReserver, ReservedPlacement
 from gentianhoist.dispatch._request import Request
 from gentianhoist.exceptions import ErrorKind, HoistError
-from gentianhoist.fleet import BackendServer, EngineProfile
+from gentianhoist.fleet import BackendServer, EngineProfile, ServerGroup
 from gentianhoist.placement import (
     Candidate,
     Commitment,
@@ -23,13 +22,9 @@
     place,
     should_wait,
 )
-from gentianhoist.quarantine import refusal_error
+from gentianhoist.quarantine import Refused, refusal_error
 
-if TYPE_CHECKING:
-    from gentianhoist.dispatch._sender import Sender
-    from gentianhoist.dispatch.core import Dispatcher
-
-__all__ = ["PromptPlacer", "ReservedPlacement"]
+__all__ = ["PromptPlacer"]
 
 _BASE_VALUE = 1.0
 _PROMPT_TOKENS_PER_VALUE = 10_000
@@ -37,7 +32,6 @@
 _LONG_PROMPT_URGENCY = 6
 _LONG_PROMPT_TOKENS = 30_000
 _MIN_DECODE_STEP_S = 0.001
-_RENEWAL_INTERVAL_RATIO = 0.4
 # Engines assumed to share the prefill of a prompt, to estimate its minimum duration.
 _TYPICAL_PREFILL_ENGINES = 4
 # Prefill time above which an unplaced prompt is retried at the longer interval.
@@ -52,50 +46,48 @@
 _commitment_numbers = itertools.count()
 
 
-@dataclass
-class ReservedPlacement:
-    """A placement of one prompt with its commitments and KV reservations.
-
-    Attributes:
-        id: Id of the commitments and of the KV reservations.
-        placement: The chosen engines.
-        urgency: Scheduling rank at the engine, 0 first.
-        helpers: Engines that prefill a share of the prompt, each with the id of its KV
-            reservation, or None without one.
-        decode_reservation_id: Id of the KV reservation at the decode engine, if any.
-        reservation_holders: Engines that hold a KV reservation of this prompt, or may
-            hold one because the request was sent; the decode engine first.
-        renewal_task: Task that renews the leases of the reservations.
-        on_decode_engine_lost: Called when the decode engine is found unreachable, while
-            the request may resume on another engine.
-    """
+class PlacementConstraints(Protocol):
+    """What limits the choice of engines for one request."""
+
+    @property
+    def group(self) -> ServerGroup:
+        """The server group chosen for the request."""
+        ...
+
+    @property
+    def is_trial(self) -> bool:
+        """Whether the request is the trial of a quarantined prompt segment."""
+        ...
 
-    id: str
-    placement: Placement
-    urgency: int
-    helpers: tuple[tuple[BackendServer, str | None], ...] = ()
-    decode_reservation_id: str | None = None
-    reservation_holders: list[BackendServer] = field(default_factory=list)
-    renewal_task: asyncio.Task[None] | None = None
-    on_decode_engine_lost: Callable[[], None] | None = None
+    def candidates(self) -> list[BackendServer]:
+        """Servers that may be chosen."""
+        ...
+
+    def quarantine_refusal(self) -> Refused | None:
+        """Why the request may not be sent to any server now, or None."""
+        ...
 
 
 class PromptPlacer:
     """Finds engines for one prompt, at once or after waiting in the queue.
 
     Args:
-        dispatcher: Dispatcher with the state that all requests share.
+        context: DispatchContext with the state that all requests share.
         request: The admitted request.
-        sender: Lists the servers that may be chosen.
+        constraints: Limits the choice of engines.
     """
 
     def __init__(
-        self, dispatcher: Dispatcher, request: Request, sender: Sender
+        self,
+        context: DispatchContext,
+        request: Request,
+        constraints: PlacementConstraints,
     ) -> None:
-        self._dispatcher = dispatcher
-        self._state = dispatcher.state
+        self._context = context
+        self._state = context.state
         self._request = request
-        self._sender = sender
+        self._constraints = constraints
+        self._kv = KvReserver(context, request)
         self._loop = asyncio.get_running_loop()
 
     async def place(self) -> ReservedPlacement:
@@ -109,10 +101,10 @@
         """
         while True:
             self._raise_if_quarantined()
-            id_ = f"{self._dispatcher.peers.incarnation}.{next(_commitment_numbers)}"
+            id_ = f"{self._context.peers.incarnation}.{next(_commitment_numbers)}"
             reserved = await self._acquire_placement(id_)
             try:
-                granted = await self._reserve_kv(reserved)
+                granted = await self._kv.reserve(reserved)
             except BaseException:
                 self.release(reserved)
                 raise
@@ -128,32 +120,25 @@
             reserved: The placement.
             after_s: Seconds from the send to the event.
         """
-        now_s = self._dispatcher.clock.monotonic_s()
+        now_s = self._context.clock.monotonic_s()
         self._state.ledger.record_first_event(reserved.id, now_s)
-        self._dispatcher.peers.publish_first_event(reserved.id)
+        self._context.peers.publish_first_event(reserved.id)
         expected_s = reserved.placement.expected_ttft_s
         # The floor keeps the ratio meaningful when almost no wait is expected.
         ratio = after_s / max(0.02, expected_s)
         server = reserved.placement.decode_engine
         self._state.server_health.get(server.incarnation).record_success(now_s, ratio)
-        self._dispatcher.queue_scheduler.request_scan()
+        self._context.queue_scheduler.request_scan()
 
     def release(self, reserved: ReservedPlacement) -> None:
         """Release commitments and KV reservations; idempotent."""
         self._end_commitments(reserved.id)
-        if reserved.renewal_task is not None:
-            reserved.renewal_task.cancel()
-            reserved.renewal_task = None
-        for server in reserved.reservation_holders:
-            self._dispatcher.run_in_background(
-                self._dispatcher.kv_reservations.release(server, reserved.id)
-            )
-        reserved.reservation_holders = []
+        self._kv.release(reserved)
 
     def _end_commitments(self, id_: str) -> None:
         self._state.ledger.remove(id_)
-        self._dispatcher.peers.publish_ended(id_)
-        self._dispatcher.queue_scheduler.request_scan()
+        self._context.peers.publish_ended(id_)
+        self._context.queue_scheduler.request_scan()
 
     async def _acquire_placement(self, id_: str) -> ReservedPlacement:
         """Choose engines and publish the commitments to the other entries."""
@@ -177,8 +162,8 @@
                 PlacementRefused("the queue for engines is full", 0.5)
             )
         self._state.queue.add(item)
-        self._dispatcher.queue_scheduler.request_scan()
-        self._dispatcher.log.record(
+        self._context.queue_scheduler.request_scan()
+        self._context.log.record(
             "waiting", self._request.call.id, queue=len(self._state.queue)
         )
         try:
@@ -192,7 +177,7 @@
 
     def _raise_if_quarantined(self) -> None:
         """Raise the error for the caller if a segment of the prompt is held."""
-        refused = self._sender.quarantine_refusal()
+        refused = self._constraints.quarantine_refusal()
         if refused is None:
             return
         error = refusal_error(refused)
@@ -203,7 +188,7 @@
     def _queue_item(self, id_: str) -> QueuedRequest:
         demand = self._demand()
         profile = self._profile()
-        now_s = self._dispatcher.clock.monotonic_s()
+        now_s = self._context.clock.monotonic_s()
         has_long_prefill = (
             profile.prefill_s(demand.prompt_tokens) > _LONG_PREFILL_THRESHOLD_S
         )
@@ -232,12 +217,12 @@
 
     def _try_place(self, id_: str) -> Placement | UnplacedReason | PlacementRefused:
         """Choose engines by their current load and add the commitments."""
-        refused = self._sender.quarantine_refusal()
+        refused = self._constraints.quarantine_refusal()
         if refused is not None:
             # The segment was held while the prompt waited in the queue.
             reason = f"segment {refused.segment} of the prompt is held"
             return PlacementRefused(reason, refused.retry_after_s)
-        now_s = self._dispatcher.clock.monotonic_s()
+        now_s = self._context.clock.monotonic_s()
         demand = self._demand()
         rule = self._state.policy.placement_rule
         placement = self._choose_engines(demand, now_s)
@@ -247,7 +232,7 @@
             return UnplacedReason.WORTH_WAITING
         for commitment in self._commitments(id_, demand, placement, now_s):
             self._state.ledger.add(commitment, now_s)
-            self._dispatcher.peers.publish_added(commitment, now_s)
+            self._context.peers.publish_added(commitment, now_s)
         self._state.queue.charge(
             self._request.organisation_name, demand.kv_tokens, now_s
         )
@@ -258,7 +243,7 @@
         profile = self._profile()
         rng = self._state.rng
         candidates = self._candidates()
-        if self._sender.is_trial:
+        if self._constraints.is_trial:
             # The prompt may crash its engine, and other streams there would be lost.
             idle = _least_loaded(candidates)
             placement = place(rule, demand, idle, profile, now_s, rng)
@@ -267,10 +252,10 @@
         return place(rule, demand, candidates, profile, now_s, rng)
 
     def _candidates(self) -> list[Candidate]:
-        now_s = self._dispatcher.clock.monotonic_s()
-        group = self._sender.group
+        now_s = self._context.clock.monotonic_s()
+        group = self._constraints.group
         candidates = []
-        for server in self._sender.candidates():
+        for server in self._constraints.candidates():
             health = self._state.server_health.get(server.incarnation)
             candidates.append(
                 Candidate(
@@ -314,84 +299,6 @@
         ]
         return [decode_commitment, *helper_commitments]
 
-    async def _reserve_kv(self, reserved: ReservedPlacement) -> bool:
-        """Reserve KV cache if the free KV cache of one engine is too small.
-
-        Returns:
-            Whether all engines granted their reservation, or none was needed.
-        """
-        placement = reserved.placement
-        tokens = placement.reserved_kv_tokens_per_engine
-        if not tokens:
-            reserved.helpers = tuple((server, None) for server in placement.helpers)
-            return True
-        lease_s = self._state.policy.kv_lease_s
-        engines = [placement.decode_engine, *placement.helpers]
-        reserved.reservation_holders = engines
-        results = await asyncio.gather(
-            *(
-                self._dispatcher.kv_reservations.reserve(
-                    server, reserved.id, tokens, lease_s
-                )
-                for server in engines
-            )
-        )
-        refused_ids = [
-            server.id
-            for server, result in zip(engines, results, strict=True)
-            if result is not ReservationStatus.HELD
-        ]
-        if refused_ids:
-            self._request.excluded_ids.update(refused_ids)
-            self._dispatcher.log.record(
-                "reservation_refused",
-                self._request.call.id,
-                servers=refused_ids,
-                tokens=tokens,
-            )
-            return False
-        reserved.helpers = tuple((server, reserved.id) for server in placement.helpers)
-        reserved.decode_reservation_id = reserved.id
-        reserved.renewal_task = self._loop.create_task(
-            self._renew_reservations(reserved, tokens)
-        )
-        return True
-
-    async def _renew_reservations(
-        self, reserved: ReservedPlacement, tokens: int
-    ) -> None:
-        """Renew the KV reservations, and abandon an unreachable decode engine.
-
-        An engine that lost power sends nothing that would end the stream, so it is
-        detected here: when it is unreachable twice in a row.
-        """
-        lease_s = self._state.policy.kv_lease_s
-        kv_reservations = self._dispatcher.kv_reservations
-        while True:
-            await asyncio.sleep(lease_s * _RENEWAL_INTERVAL_RATIO)
-            results = await asyncio.gather(
-                *(
-                    kv_reservations.reserve(server, reserved.id, tokens, lease_s)
-                    for server in reserved.reservation_holders
-                )
-            )
-            if (
-                results[0] is not ReservationStatus.UNREACHABLE
-                or ReservationStatus.HELD not in results
-            ):
-                # Only an unreachable decode engine is abandoned. If no reservation was
-                # renewed, this entry itself may be partitioned.
-                continue
-            server = reserved.reservation_holders[0]
-            again = await kv_reservations.reserve(server, reserved.id, tokens, lease_s)
-            if again is not ReservationStatus.UNREACHABLE:
-                continue
-            self._dispatcher.log.record(
-                "first_engine_gone", self._request.call.id, server=server.id
-            )
-            if reserved.on_decode_engine_lost is not None:
-                reserved.on_decode_engine_lost()
-
     def _demand(self) -> Demand:
         call = self._request.call
         waited_s = self._loop.time() - call.received_s
@@ -409,7 +316,7 @@
         )
 
     def _profile(self) -> EngineProfile:
-        profile = self._sender.group.engine
+        profile = self._constraints.group.engine
         if profile is None:
             raise HoistError(
                 ErrorKind.NO_BACKEND_SERVER,
@@ -434,9 +341,9 @@
 
     def _log_placed(self, reserved: ReservedPlacement) -> None:
         placement = reserved.placement
-        now_s = self._dispatcher.clock.monotonic_s()
+        now_s = self._context.clock.monotonic_s()
         load = self._state.ledger.load(placement.decode_engine.id)
-        self._dispatcher.log.record(
+        self._context.log.record(
             "placed",
             self._request.call.id,
             server=placement.decode_engine.id,
--- a/gentianhoist/dispatch/_sender.py
+++ b/gentianhoist/dispatch/_sender.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from gentianhoist.dispatch._attempt import (
     Attempt,
@@ -11,6 +10,7 @@
     Execution,
     StreamProgress,
 )
+from gentianhoist.dispatch._context import DispatchContext
 from gentianhoist.dispatch._interfaces import SendOptions, ServerResponse
 from gentianhoist.dispatch._request import Request
 from gentianhoist.exceptions import ErrorKind, HoistError
@@ -18,9 +18,6 @@
 from gentianhoist.http1 import Responder
 from gentianhoist.quarantine import Refused
 
-if TYPE_CHECKING:
-    from gentianhoist.dispatch.core import Dispatcher
-
 __all__ = ["Sender"]
 
 # Attempts at one request, including those that sent nothing.
@@ -36,17 +33,17 @@
     """Sends one request to one backend server, or to several in turn.
 
     Args:
-        dispatcher: Dispatcher with the state that all requests share.
+        context: DispatchContext with the state that all requests share.
         request: The admitted request.
         responder: Sends the response to the caller.
     """
 
     def __init__(
-        self, dispatcher: Dispatcher, request: Request, responder: Responder
+        self, context: DispatchContext, request: Request, responder: Responder
     ) -> None:
         self._responder = responder
-        self._dispatcher = dispatcher
-        self._state = dispatcher.state
+        self._context = context
+        self._state = context.state
         self._request = request
         self._loop = asyncio.get_running_loop()
         self._attempts = 0
@@ -71,7 +68,7 @@
 
     def candidates(self) -> list[BackendServer]:
         """Servers that may be chosen; ejected ones only if there are no others."""
-        now_s = self._dispatcher.clock.monotonic_s()
+        now_s = self._context.clock.monotonic_s()
         group = self.group
         members = [
             server
@@ -105,15 +102,15 @@
             request.call,
             server,
             self._state.pool(server, self.group),
-            self._dispatcher.codec,
+            self._context.codec,
         )
 
         def encode() -> bytes:
             remaining_s = request.remaining_s(self._loop.time())
             final = _options_at_send(options, request, remaining_s)
             request.mark_sent(server.id)
-            self._state.record_sent(server, self._dispatcher.clock.monotonic_s())
-            return self._dispatcher.codec.encode(request.call, server, final)
+            self._state.record_sent(server, self._context.clock.monotonic_s())
+            return self._context.codec.encode(request.call, server, final)
 
         await attempt.send(
             encode, lambda: self.refusal_reason(server), max_idle_s=max_idle_s
@@ -138,7 +135,7 @@
             failure: Why the attempt failed.
             progress: How far the attempt's stream had come, if it has one.
         """
-        now_s = self._dispatcher.clock.monotonic_s()
+        now_s = self._context.clock.monotonic_s()
         request = self._request
         request.excluded_ids.add(server.id)
         if failure.execution is Execution.NOT_EXECUTED:
@@ -152,8 +149,8 @@
             request.excluded_ids.add(faulty_server.id)
             health = self._state.server_health.get(faulty_server.incarnation)
             health.record_failure(now_s, _failure_weight(failure))
-        self._dispatcher.metrics.record_failed_send(failure.execution.name.lower())
-        self._dispatcher.log.record(
+        self._context.metrics.record_failed_send(failure.execution.name.lower())
+        self._context.log.record(
             "send_failed",
             request.call.id,
             server=server.id,
@@ -256,10 +253,10 @@
 
     def refusal_reason(self, server: BackendServer) -> str | None:
         """Why the request may not be sent to this server at this moment, or None."""
-        reason = self._dispatcher.recheck_configuration(self._request)
+        reason = self._context.recheck_configuration(self._request)
         if reason is not None:
             return reason
-        now_s = self._dispatcher.clock.monotonic_s()
+        now_s = self._context.clock.monotonic_s()
         current = self._state.directory.find_usable(server.id, now_s)
         if current is None or current.incarnation != server.incarnation:
             return "the server no longer accepts new requests"
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from gentianhoist.dispatch._attempt import (
     Attempt,
@@ -11,9 +10,11 @@
     Execution,
     StreamProgress,
 )
+from gentianhoist.dispatch._context import DispatchContext
 from gentianhoist.dispatch._events import EventReader, StreamEvent
 from gentianhoist.dispatch._interfaces import SendOptions, ServerResponse
-from gentianhoist.dispatch._prompt_placer import PromptPlacer, ReservedPlacement
+from gentianhoist.dispatch._kv_reserver import ReservedPlacement
+from gentianhoist.dispatch._prompt_placer import PromptPlacer
 from gentianhoist.dispatch._request import Request
 from gentianhoist.dispatch._sender import Sender
 from gentianhoist.exceptions import HoistError
@@ -21,9 +22,6 @@
 from gentianhoist.http1 import Responder
 from gentianhoist.quarantine import Refused, TrialResult
 
-if TYPE_CHECKING:
-    from gentianhoist.dispatch.core import Dispatcher
-
 __all__ = ["StreamRelay"]
 
 _OK = 200
@@ -40,21 +38,21 @@
     """Relays the event stream of one prompt.
 
     Args:
-        dispatcher: Dispatcher with the state that all requests share.
+        context: DispatchContext with the state that all requests share.
         request: The admitted request.
         responder: Sends the response to the caller.
     """
 
     def __init__(
-        self, dispatcher: Dispatcher, request: Request, responder: Responder
+        self, context: DispatchContext, request: Request, responder: Responder
     ) -> None:
-        super().__init__(dispatcher, request, responder)
-        self._placer = PromptPlacer(dispatcher, request, self)
+        super().__init__(context, request, responder)
+        self._placer = PromptPlacer(context, request, self)
         self._last_event_id = request.call.last_event_id
         self._events_forwarded = 0
         self._longest_pause_s = 0.0
         self._progress = StreamProgress()
-        self._quarantine = dispatcher.quarantine
+        self._quarantine = context.quarantine
         self._is_trial = False
         self._is_served = False
         self._first_event_s: float | None = None
@@ -97,11 +95,17 @@
                 engine = reserved.placement.decode_engine
                 self.record_failure(engine, failure, self._progress)
                 await self._report_lost_connection(engine, failure)
-                if self._is_trial or not self.try_begin_retry(failure):
+                if not self._may_retry(failure):
                     return self._end_after_failure(failure)
             finally:
                 self._placer.release(reserved)
 
+    def _may_retry(self, failure: AttemptFailed) -> bool:
+        """Whether the prompt may be sent again; begins the retry if so."""
+        if self._is_trial or self.quarantine_refusal() is not None:
+            return False
+        return self.try_begin_retry(failure)
+
     def refusal_reason(self, server: BackendServer) -> str | None:
         """Why the prompt may not be sent to this engine at this moment, or None."""
         if self.quarantine_refusal() is not None:
@@ -135,7 +139,7 @@
 
     def _is_listed(self, engine: BackendServer) -> bool:
         """Whether the engine should be running: one that drains may end at any time."""
-        now_s = self._dispatcher.clock.monotonic_s()
+        now_s = self._context.clock.monotonic_s()
         listed = self._state.directory.find_usable(engine.id, now_s)
         return listed is not None and listed.incarnation == engine.incarnation
 
@@ -154,7 +158,7 @@
             placement.decode_engine, options, max_idle_s=self._max_idle_s()
         )
         sent_s = self._loop.time()
-        sent_clock_s = self._dispatcher.clock.monotonic_s()
+        sent_clock_s = self._context.clock.monotonic_s()
         if self._request.idempotent:
             reserved.on_decode_engine_lost = attempt.abort
         try:
@@ -283,7 +287,7 @@
         if not self._responder.started:
             self._responder.start_chunked(response.status, response.headers)
             self._first_event_s = now_s - self._request.call.received_s
-            self._dispatcher.metrics.record_first_event(self._first_event_s)
+            self._context.metrics.record_first_event(self._first_event_s)
         else:
             self._longest_pause_s = max(
                 self._longest_pause_s, now_s - (self._request.last_event_s or now_s)
@@ -318,7 +322,7 @@
         raise self.final_error(failure) from failure
 
     def _abort_stream(self, reason: str) -> str:
-        self._dispatcher.log.record(
+        self._context.log.record(
             "stream_broken_off",
             self._request.call.id,
             reason=reason,
@@ -329,7 +333,7 @@
         return "broken_off"
 
     def _log_served(self, reserved: ReservedPlacement) -> None:
-        self._dispatcher.log.record(
+        self._context.log.record(
             "stream_served",
             self._request.call.id,
             server=reserved.placement.decode_engine.id,
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -14,6 +14,7 @@
 from gentianhoist.clocks import Clock, SystemClock
 from gentianhoist.dispatch import (
     Call,
+    DispatchContext,
     Dispatcher,
     DispatchPolicy,
     DispatchState,
@@ -85,7 +86,7 @@
             settings.peers_port,
             self._state.ledger,
             self._clock,
-            lambda: self._dispatcher.queue_scheduler.request_scan(),
+            lambda: self._dispatch.queue_scheduler.request_scan(),
         )
         self._table_exchange = PeerTableExchange(
             settings.host, settings.peers_port, lambda: self._peers.live_hosts
@@ -98,10 +99,10 @@
             self._clock,
             log,
             self._metrics,
-            lambda: self._dispatcher.queue_scheduler.request_scan(),
+            lambda: self._dispatch.queue_scheduler.request_scan(),
         )
         self._peers.set_quarantine(self._quarantine)
-        self._dispatcher = Dispatcher(
+        self._dispatch = DispatchContext(
             self._state,
             adapter.codec,
             adapter.create_kv_reservations(self._state),
@@ -111,6 +112,7 @@
             self._metrics,
             self._quarantine,
         )
+        self._dispatcher = Dispatcher(self._dispatch)
         self._caller_server = HttpServer(
             self._serve, lambda: self._state.routing.limits, self._count_unreadable
         )
@@ -185,7 +187,7 @@
         await self._quarantine.close()
         await self._peers.close()
         await self._table_exchange.close()
-        self._dispatcher.queue_scheduler.close()
+        self._dispatch.queue_scheduler.close()
         self._state.close()
         await self._adapter.close()
 
@@ -327,7 +329,7 @@
 
     def _handle_servers_changed(self) -> None:
         self._state.prune_removed_servers()
-        self._dispatcher.queue_scheduler.request_scan()
+        self._dispatch.queue_scheduler.request_scan()
 
     async def _expire(self) -> None:
         """Periodically expire commitments and peers, and update counts and gauges."""
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -9,6 +9,7 @@
 
 from gentianhoist.dispatch import (
     Call,
+    DispatchContext,
     Dispatcher,
     DispatchPolicy,
     DispatchState,
@@ -384,7 +385,7 @@
             EntryMetrics(),
             lambda: None,
         )
-        self.dispatcher = Dispatcher(
+        self.context = DispatchContext(
             self.state,
             FakeCodec(),
             FakeReservationClient(self.server_state),
@@ -394,3 +395,4 @@
             EntryMetrics(),
             self.quarantine,
         )
+        self.dispatcher = Dispatcher(self.context)
--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -147,7 +147,7 @@
             await asyncio.sleep(0.1)
             assert len(harness.state.queue) == 1
             self._hold_due(harness, in_store=False)
-            harness.dispatcher.queue_scheduler.request_scan()
+            harness.context.queue_scheduler.request_scan()
             await asyncio.sleep(0.2)
             assert serving.done()
             return await serving
