Count each loss of an engine whose restart the directory doesn't show yet

Cause: while the store is away a restarted engine keeps its incarnation in the directory. Its further losses within 2 s were added to the first one, with its time, and counted as one incident. Change: a loss of a prompt that was sent after the last loss of its engine is a new one; reports within 0.5 s, not 2 s, are about the same loss.

--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -53,6 +53,8 @@
         self._longest_pause_s = 0.0
         self._progress = StreamProgress()
         self._quarantine = context.quarantine
+        # Time on the clock of the quarantine when the prompt was sent last.
+        self._sent_clock_s = 0.0
         self._is_trial = False
         self._is_served = False
         self._first_event_s: float | None = None
@@ -135,7 +137,9 @@
             and writing_s <= _MAX_SUSPECT_WRITING_S
             and self._is_listed(engine)
         ):
-            await self._quarantine.report_lost_connection(engine, segments)
+            await self._quarantine.report_lost_connection(
+                engine, segments, self._sent_clock_s
+            )
 
     def _is_listed(self, engine: BackendServer) -> bool:
         """Whether the engine should be running: one that drains may end at any time."""
@@ -158,7 +162,7 @@
             placement.decode_engine, options, max_idle_s=self._max_idle_s()
         )
         sent_s = self._loop.time()
-        sent_clock_s = self._context.clock.monotonic_s()
+        self._sent_clock_s = self._context.clock.monotonic_s()
         if self._request.idempotent:
             reserved.on_decode_engine_lost = attempt.abort
         try:
@@ -176,7 +180,7 @@
         self._log_served(reserved)
         segments = self._request.call.shared_segments
         self._quarantine.report_completed(
-            segments, sent_clock_s, is_trial=self._is_trial
+            segments, self._sent_clock_s, is_trial=self._is_trial
         )
         self._is_served = True
         return "served"
--- a/gentianhoist/quarantine/_evidence.py
+++ b/gentianhoist/quarantine/_evidence.py
@@ -8,9 +8,9 @@
 
 __all__ = ["EngineLoss", "LossLog", "SuspectedLoss", "count_incidents"]
 
-# Reports about one engine within this time are about the same loss. A crashed engine
-# takes longer than that to be back.
-_SAME_LOSS_S = 2.0
+# Reports about one engine within this time are about the same loss. Entries notice it
+# at about the same time, and a crashed engine takes longer than that to be back.
+_SAME_LOSS_S = 0.5
 # Losses closer together than this count once: a fault of a rack or an availability zone
 # takes many engines at the same moment, whatever they were answering.
 _SAME_INCIDENT_S = 0.1
--- a/gentianhoist/quarantine/_loss_monitor.py
+++ b/gentianhoist/quarantine/_loss_monitor.py
@@ -26,10 +26,16 @@
 
     def __init__(self) -> None:
         self.prompts: set[tuple[str, ...]] = set()
-        self.task: asyncio.Task[None] | None = None
         self.decided = asyncio.Event()
         self.loss: EngineLoss | None = None
 
+    def is_before(self, sent_s: float) -> bool:
+        """Whether the engine was lost, and up again, before a prompt was sent to it.
+
+        The directory may not know of its restart yet.
+        """
+        return self.loss is not None and self.loss.lost_s < sent_s
+
 
 class LossMonitor:
     """Gathers the prompts that lost an engine, and probes the engine once.
@@ -59,27 +65,31 @@
         self._on_loss = on_loss
         self._decide = decide
         self._open_losses: dict[tuple[str, str, int], _OpenLoss] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def close(self) -> None:
         """Cancel all probes."""
-        tasks = [item.task for item in self._open_losses.values() if item.task]
-        for task in tasks:
+        for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def report(self, server: BackendServer, segments: tuple[str, ...]) -> None:
+    async def report(
+        self, server: BackendServer, segments: tuple[str, ...], sent_s: float
+    ) -> None:
         """Report a lost connection, and wait, within a limit, for the decision.
 
         Args:
             server: The engine.
             segments: Shared segments of the prompt that was being answered.
+            sent_s: Time on the monotonic clock when it was sent to the engine.
         """
         open_loss = self._open_losses.get(server.incarnation)
-        if open_loss is None:
+        if open_loss is None or open_loss.is_before(sent_s):
             open_loss = self._open_losses[server.incarnation] = _OpenLoss()
-            open_loss.task = asyncio.get_running_loop().create_task(
-                self._probe_engine(server, open_loss)
-            )
+            probing = self._probe_engine(server, open_loss)
+            task = asyncio.get_running_loop().create_task(probing)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
         open_loss.prompts.add(segments)
         if open_loss.loss is not None:
             self._on_loss(open_loss.loss._replace(prompts=frozenset({segments})))
@@ -108,4 +118,5 @@
         open_loss.decided.set()
         if is_down:
             await asyncio.sleep(_LOSS_OPEN_S)
-        self._open_losses.pop(server.incarnation, None)
+        if self._open_losses.get(server.incarnation) is open_loss:
+            del self._open_losses[server.incarnation]
--- a/gentianhoist/quarantine/_service.py
+++ b/gentianhoist/quarantine/_service.py
@@ -143,7 +143,7 @@
             self._announce(record, "trial")
 
     async def report_lost_connection(
-        self, server: BackendServer, segments: tuple[str, ...]
+        self, server: BackendServer, segments: tuple[str, ...], sent_s: float
     ) -> None:
         """Report that a connection was lost at the beginning of an answer.
 
@@ -153,8 +153,9 @@
         Args:
             server: The engine.
             segments: Shared segments of the prompt.
+            sent_s: Time on the monotonic clock when it was sent to the engine.
         """
-        await self._losses.report(server, segments)
+        await self._losses.report(server, segments, sent_s)
 
     def report_completed(
         self, segments: tuple[str, ...], sent_s: float, *, is_trial: bool
--- a/tests/quarantine/test_service.py
+++ b/tests/quarantine/test_service.py
@@ -92,11 +92,13 @@
         )
         self.quarantine.start()
 
-    async def lose(self, number: int, *prompts: tuple[str, ...]) -> None:
+    async def lose(
+        self, number: int, *prompts: tuple[str, ...], sent_s: float = -1.0
+    ) -> None:
         server = BackendServer(f"s{number}", "g", "10.0.0.1", 80, "z", 8)
         await asyncio.gather(
             *(
-                self.quarantine.report_lost_connection(server, prompt)
+                self.quarantine.report_lost_connection(server, prompt, sent_s)
                 for prompt in prompts
             )
         )
@@ -146,6 +148,18 @@
 
         run(loop, scenario)
 
+    def test_engine_that_is_lost_again_counts_again(self, loop):
+        # Guards against: while the store is away the directory doesn't tell that an
+        # engine has restarted, and its next losses are taken for the first one.
+        async def scenario(entry: Entry) -> None:
+            for _ in range(3):
+                await entry.lose(1, ("dd",), sent_s=loop.time() - 0.02)
+                await asyncio.sleep(0.6)
+            assert entry.probe.probes == 3
+            assert entry.is_refused("dd")
+
+        run(loop, scenario)
+
     def test_waits_for_the_decision_but_not_long(self, loop):
         async def scenario(entry: Entry) -> None:
             began_s = loop.time()
