--- a/gentianhoist/quarantine/_evidence.py
+++ b/gentianhoist/quarantine/_evidence.py
@@ -16,7 +16,8 @@
 _SAME_INCIDENT_S = 0.1
 _MAX_LOSSES = 256
 _MAX_LOSS_AGE_S = 600.0
-_MAX_PROMPTS_PER_LOSS = 8
+# Also bounds the datagram that reports a loss.
+_MAX_SEGMENTS_PER_LOSS = 512
 _MAX_SEGMENTS_PER_PROMPT = 64
 _MAX_COMPLETED = 4096
 
@@ -35,10 +36,20 @@
     prompts: frozenset[tuple[str, ...]]
 
     def bounded(self) -> EngineLoss:
-        """Return the loss with at most so many prompts and segments as are kept."""
-        prompts = [prompt[-_MAX_SEGMENTS_PER_PROMPT:] for prompt in self.prompts]
-        kept = frozenset(sorted(prompts)[:_MAX_PROMPTS_PER_LOSS])
-        return self._replace(prompts=kept)
+        """Return the loss with at most so many segments as are kept.
+
+        Prompts of few segments come first, and of each prompt the last segments, which
+        the fewest prompts share.
+        """
+        shortened = {prompt[-_MAX_SEGMENTS_PER_PROMPT:] for prompt in self.prompts}
+        kept = []
+        segments = 0
+        for prompt in sorted(shortened, key=lambda prompt: (len(prompt), prompt)):
+            segments += len(prompt)
+            if segments > _MAX_SEGMENTS_PER_LOSS:
+                break
+            kept.append(prompt)
+        return self._replace(prompts=frozenset(kept))
 
 
 class SuspectedLoss(NamedTuple):
--- a/gentianhoist/quarantine/core.py
+++ b/gentianhoist/quarantine/core.py
@@ -186,7 +186,7 @@
             return False
         self._keep(record)
         if record.state is QuarantineState.RELEASED:
-            # Another entry has evidence against the losses so far.
+            # Another entry has seen what refutes the losses so far.
             self._losses.complete((record.segment,), now_s)
         return True
 
@@ -299,15 +299,16 @@
     def _is_cleared(self, segment: str) -> bool:
         """Whether other segments explain why this one was held.
 
-        Only a segment that was completed before is cleared. Otherwise two entries could
-        each clear what the other one blames.
+        Only a segment that was completed before is cleared: otherwise two entries could
+        each clear what the other one blames. And only by an entry that would hold it
+        but for the explanation: another one may just have seen too little.
         """
         record = self._records[segment]
         return (
             record.state is QuarantineState.HELD
             and not record.failed_trials
             and self._losses.was_completed(segment)
-            and self._losses.incidents(segment, frozenset()) > 0
+            and self._has_evidence(segment)
         )
 
     def _is_refuted_by(self, segment: str, sent_s: float) -> bool:
--- a/tests/quarantine/test_core.py
+++ b/tests/quarantine/test_core.py
@@ -118,6 +118,27 @@
         quarantine.evaluate(WALL_S + 3.1)
         assert quarantine.held == {"dd"}
 
+    def test_entry_that_has_seen_little_clears_nothing(self):
+        # Guards against: an entry releases what others hold, because it has seen fewer
+        # losses than they have.
+        quarantine = SegmentQuarantine()
+        complete(quarantine, -1.0, "dd")
+        record = QuarantineRecord("dd", QuarantineState.HELD, 1, 0, round(2e9))
+        quarantine.merge(record, 0.0)
+        for number in range(3):
+            lose(quarantine, float(number), ("aa", "dd"))
+            assert quarantine.held == {"dd"}
+
+    def test_deadly_prompt_is_found_among_many(self):
+        # Guards against: an engine had more prompts than are kept of a loss, and the
+        # deadly one is left out each time.
+        quarantine = SegmentQuarantine()
+        prompts = [("aa", f"b{number}") for number in range(60)]
+        for number in range(3):
+            complete(quarantine, number - 0.5, *(item for p in prompts for item in p))
+            lose(quarantine, float(number), *prompts, ("aa", "ff"))
+        assert quarantine.held == {"ff"}
+
     def test_completed_segment_needs_more_incidents(self):
         quarantine = SegmentQuarantine()
         complete(quarantine, -1.0, "aa")
