--- a/gentianhoist/standins/engine.py
+++ b/gentianhoist/standins/engine.py
@@ -37,7 +37,7 @@
 
 _MAX_FINISHED_OUTPUTS = 256
 _SILENT_POLL_S = 0.5
-_DEADLY_DELAY_S = 0.002
+_CRASH_DELAY_S = 0.002
 
 
 class EngineFaults(msgspec.Struct, forbid_unknown_fields=True):
@@ -50,7 +50,7 @@
         load_lag_s: Age of the load report in seconds.
         ignore_cancels: Whether cancellations have no effect.
         silent: Whether open streams send nothing more but stay connected.
-        deadly_text: The engine crashes when it begins to answer a prompt with this
+        crash_text: The engine crashes when it begins to answer a prompt with this
             text; empty for none.
     """
 
@@ -59,7 +59,7 @@
     load_lag_s: float = 0.5
     ignore_cancels: bool = False
     silent: bool = False
-    deadly_text: str = ""
+    crash_text: str = ""
 
 
 class _SubmitBody(msgspec.Struct):
@@ -247,8 +247,8 @@
             return json_response({"error": "overloaded while cold"}, status=503)
         self._outputs[body.stream_id] = _StreamOutput(body.start)
         self._work_available.set()
-        if self.faults.deadly_text and self.faults.deadly_text in body.prompt:
-            asyncio.get_running_loop().call_later(_DEADLY_DELAY_S, self.crash)
+        if self.faults.crash_text and self.faults.crash_text in body.prompt:
+            asyncio.get_running_loop().call_later(_CRASH_DELAY_S, self.crash)
         return await self._write_stream(request, body.stream_id, body.start)
 
     async def _resume(self, request: web.Request) -> web.StreamResponse:
--- a/tests/entry/test_failures.py
+++ b/tests/entry/test_failures.py
@@ -239,8 +239,8 @@
     The users' bound: after the fifth crash, three such prompts may reach engines.
     """
     for engine in own_fleet.engines:
-        engine.faults.deadly_text = "deadly"
-    beginning = "A deadly beginning that several prompts share. " * 40
+        engine.faults.crash_text = "crashing"
+    beginning = "A crashing beginning that several prompts share. " * 40
     for number in range(45):
         await complete(own_fleet, f"{beginning}{number}", number % 2, tokens=5)
         await asyncio.sleep(0.2)
--- a/tests/platform_adapter/test_quarantine.py
+++ b/tests/platform_adapter/test_quarantine.py
@@ -19,28 +19,28 @@
 HOLD_WITHIN_S = 3.0
 MAX_LATER_PROMPTS = 3
 CLEAN = "aa"
-DEADLY = "dd"
-HELD = QuarantineRecord(DEADLY, QuarantineState.HELD, 1, 0, int(4e12))
+CRASHING = "dd"
+HELD = QuarantineRecord(CRASHING, QuarantineState.HELD, 1, 0, int(4e12))
 
 _numbers = itertools.count()
 
 
 @pytest.fixture
 async def fleet(deployment):
-    """A deployment of three entries and six engines, which crash on `DEADLY`."""
+    """A deployment of three entries and six engines, which crash on `CRASHING`."""
     for host in ENTRIES[1:]:
         await deployment.add_entry(host)
     for number in range(2, 6):
         await deployment.add_server(f"e{number}", "engines")
-    set_deadly(deployment, DEADLY)
+    set_crashing(deployment, CRASHING)
     directory = deployment.gateway._state.directory
     await deployment.wait_until(lambda: len(directory.servers) == 8)
     return deployment
 
 
-def set_deadly(fleet, *segments: str) -> None:
+def set_crashing(fleet, *segments: str) -> None:
     for server in fleet.servers.values():
-        server.faults.deadly_segments = frozenset(segments)
+        server.faults.crash_segments = frozenset(segments)
 
 
 async def send_prompt(
@@ -77,7 +77,7 @@
 
 
 async def send_rounds(fleet, rounds: int, *segments: str, **prompt: str) -> list[int]:
-    """Send a deadly and a clean prompt to each entry, a few rounds of them.
+    """Send a crashing and a clean prompt to each entry, a few rounds of them.
 
     Returns the statuses of the clean prompts.
     """
@@ -96,7 +96,7 @@
 
 
 async def hold(fleet, segment: str, **prompt: str) -> None:
-    """Send deadly prompts until all entries hold the segment, or for too long."""
+    """Send crashing prompts until all entries hold the segment, or for too long."""
     loop = asyncio.get_running_loop()
     fifth_crash_s = float("inf")
     while not all(is_held(gateway, segment) for gateway in entries(fleet)):
@@ -114,55 +114,55 @@
     return all(gateway._quarantine.refusal((segment,)) for segment in segments)
 
 
-class TestDeadlySegment:
+class TestCrashingSegment:
     # Guards against: prompts that share a segment crash one engine after the other,
     # because every entry sends each of them, and again after a crash.
     @pytest.mark.parametrize("path", ["/brief/x", "/brief/long"])
     async def test_stops_reaching_engines(self, fleet, path):
-        await send_rounds(fleet, 6, DEADLY, path=path)
-        before = arrivals(fleet, DEADLY)
-        assert await send_rounds(fleet, 8, DEADLY, path=path) == [200] * 24
-        assert arrivals(fleet, DEADLY) - before <= MAX_LATER_PROMPTS
+        await send_rounds(fleet, 6, CRASHING, path=path)
+        before = arrivals(fleet, CRASHING)
+        assert await send_rounds(fleet, 8, CRASHING, path=path) == [200] * 24
+        assert arrivals(fleet, CRASHING) - before <= MAX_LATER_PROMPTS
 
     # Guards against: the same, with prompts that several engines prefill.
     async def test_of_prompts_on_several_engines(self, fleet):
         tokens = "300000,100"
-        await hold(fleet, DEADLY, tokens=tokens)
-        before = arrivals(fleet, DEADLY)
-        assert await send_rounds(fleet, 4, DEADLY, tokens=tokens) == [200] * 12
-        assert arrivals(fleet, DEADLY) - before <= MAX_LATER_PROMPTS
+        await hold(fleet, CRASHING, tokens=tokens)
+        before = arrivals(fleet, CRASHING)
+        assert await send_rounds(fleet, 4, CRASHING, tokens=tokens) == [200] * 12
+        assert arrivals(fleet, CRASHING) - before <= MAX_LATER_PROMPTS
 
     async def test_several_at_the_same_time(self, fleet):
-        deadly = ("dd", "ee", "ff")
-        set_deadly(fleet, *deadly)
+        crashing = ("dd", "ee", "ff")
+        set_crashing(fleet, *crashing)
         for _ in range(6):
-            await asyncio.gather(*(send_rounds(fleet, 1, item) for item in deadly))
-        before = [arrivals(fleet, item) for item in deadly]
+            await asyncio.gather(*(send_rounds(fleet, 1, item) for item in crashing))
+        before = [arrivals(fleet, item) for item in crashing]
         for _ in range(4):
             statuses = await asyncio.gather(
-                *(send_rounds(fleet, 1, item) for item in deadly)
+                *(send_rounds(fleet, 1, item) for item in crashing)
             )
             assert statuses == [[200] * 3] * 3
-        for item, count in zip(deadly, before, strict=True):
+        for item, count in zip(crashing, before, strict=True):
             assert arrivals(fleet, item) - count <= MAX_LATER_PROMPTS
 
     async def test_refusal_says_that_the_prompt_has_not_run(self, fleet):
-        await hold(fleet, DEADLY)
-        before = arrivals(fleet, DEADLY)
-        headers = {"Token_Count": "5000,100", "Prefix_Hash": f"{DEADLY}:1,ab:1"}
+        await hold(fleet, CRASHING)
+        before = arrivals(fleet, CRASHING)
+        headers = {"Token_Count": "5000,100", "Prefix_Hash": f"{CRASHING}:1,ab:1"}
         status, received, body = await fleet.send("/brief/x", "r1", **headers)
         assert status == 503
         assert float(received["Retry-After"]) >= 1.0
         assert b"prompt_quarantined" in body
         assert b'"not_run":"true"' in body
-        assert arrivals(fleet, DEADLY) == before
+        assert arrivals(fleet, CRASHING) == before
 
 
 class TestSoundPrompts:
     # Guards against: engines that crash for other reasons make entries refuse prompts
     # that had nothing to do with it.
     async def test_are_served_while_engines_crash_for_other_reasons(self, fleet):
-        set_deadly(fleet)
+        set_crashing(fleet)
         engines = [server for id_, server in fleet.servers.items() if id_[0] == "e"]
         statuses = []
         for number in range(20):
@@ -183,37 +183,37 @@
 
 class TestEntries:
     async def test_an_entry_that_is_added_knows(self, fleet):
-        await hold(fleet, DEADLY)
+        await hold(fleet, CRASHING)
         gateway = await fleet.add_entry("127.0.0.4")
-        await fleet.wait_until(lambda: is_held(gateway, DEADLY))
+        await fleet.wait_until(lambda: is_held(gateway, CRASHING))
 
     # Guards against: all entries are killed, and each learns by crashes once more.
     async def test_entries_that_all_restart_know(self, fleet):
-        await hold(fleet, DEADLY)
-        await fleet.wait_until(lambda: fleet.store.keys("quarantine") == [DEADLY])
+        await hold(fleet, CRASHING)
+        await fleet.wait_until(lambda: fleet.store.keys("quarantine") == [CRASHING])
         for host in ENTRIES:
             await fleet.remove_entry(host)
-        before = arrivals(fleet, DEADLY)
+        before = arrivals(fleet, CRASHING)
         for host in ENTRIES:
             await fleet.add_entry(host)
-            assert await send_prompt(fleet, CLEAN, DEADLY, entry=host) == 503
-        assert arrivals(fleet, DEADLY) == before
+            assert await send_prompt(fleet, CLEAN, CRASHING, entry=host) == 503
+        assert arrivals(fleet, CRASHING) == before
 
     # Guards against: an entry whose datagrams are lost never hears of it.
     async def test_an_entry_cut_off_from_the_others_learns_from_the_store(self, fleet):
         cut_off = fleet.gateways[ENTRIES[2]]
         cut_off._peers.datagram_received = lambda data, addr: None
-        await hold(fleet, DEADLY)
-        assert is_held(cut_off, DEADLY)
+        await hold(fleet, CRASHING)
+        assert is_held(cut_off, CRASHING)
 
     async def test_the_others_know_while_the_store_is_away(self, fleet):
         fleet.store.faults.down = True
-        await hold(fleet, DEADLY)
-        before = arrivals(fleet, DEADLY)
-        await send_rounds(fleet, 3, DEADLY)
-        assert arrivals(fleet, DEADLY) == before
+        await hold(fleet, CRASHING)
+        before = arrivals(fleet, CRASHING)
+        await send_rounds(fleet, 3, CRASHING)
+        assert arrivals(fleet, CRASHING) == before
         fleet.store.faults.down = False
-        await fleet.wait_until(lambda: fleet.store.keys("quarantine") == [DEADLY])
+        await fleet.wait_until(lambda: fleet.store.keys("quarantine") == [CRASHING])
 
     async def test_a_lost_datagram_is_made_up_for(self, fleet):
         fleet.store.faults.down = True
@@ -222,7 +222,7 @@
         for gateway in entries(fleet)[:2]:
             gateway._quarantine.receive_record(HELD)
         deaf.datagram_received = receive
-        await fleet.wait_until(lambda: is_held(fleet.gateways[ENTRIES[2]], DEADLY))
+        await fleet.wait_until(lambda: is_held(fleet.gateways[ENTRIES[2]], CRASHING))
 
 
 class TestTrial:
@@ -230,15 +230,15 @@
         for gateway in entries(fleet):
             policy = QuarantinePolicy(first_hold_s=0.4, hold_ratio=1.0)
             gateway._quarantine._quarantine._policy = policy
-        await hold(fleet, DEADLY)
-        before = arrivals(fleet, DEADLY)
+        await hold(fleet, CRASHING)
+        before = arrivals(fleet, CRASHING)
         await asyncio.sleep(0.6)
-        await send_rounds(fleet, 1, DEADLY)
-        assert arrivals(fleet, DEADLY) - before <= 1
-        set_deadly(fleet)
+        await send_rounds(fleet, 1, CRASHING)
+        assert arrivals(fleet, CRASHING) - before <= 1
+        set_crashing(fleet)
         await asyncio.sleep(0.6)
-        await send_rounds(fleet, 4, DEADLY)
+        await send_rounds(fleet, 4, CRASHING)
         statuses = [
-            await send_prompt(fleet, CLEAN, DEADLY, entry=host) for host in ENTRIES
+            await send_prompt(fleet, CLEAN, CRASHING, entry=host) for host in ENTRIES
         ]
         assert statuses == [200] * 3
--- a/tests/quarantine/test_core.py
+++ b/tests/quarantine/test_core.py
@@ -68,7 +68,7 @@
             assert lose(quarantine, 5.0 + number / 1000, ("aa", "bb")) == []
 
     def test_first_segment_is_explained_by_the_deeper_one(self):
-        # Guards against: all deadly prompts share their first segment with sound ones.
+        # Guards against: crashing prompts share their first segment with sound ones.
         quarantine = SegmentQuarantine()
         held = [lose(quarantine, float(n), ("aa", "dd"), ("aa",)) for n in range(9)]
         assert [segment for segments in held for segment in segments] == ["dd"]
@@ -95,7 +95,7 @@
         lose(quarantine, 3.0, ("dd",))
         assert lose(quarantine, 4.0, ("dd",)) == ["dd"]
 
-    def test_two_deadly_segments_are_both_held(self):
+    def test_two_crashing_segments_are_both_held(self):
         quarantine = SegmentQuarantine()
         for number in range(3):
             lose(quarantine, float(number), ("aa", "dd"), ("aa", "ee"))
@@ -105,7 +105,7 @@
 
     def test_partial_reports_blame_nobody_for_long(self):
         # Guards against: an entry hears of the sound prompts of a lost engine before it
-        # hears of the deadly one, and holds their segment until the next trial.
+        # hears of the crashing one, and holds their segment until the next trial.
         quarantine = SegmentQuarantine()
         complete(quarantine, -1.0, "aa")
         for number in range(4):
@@ -129,9 +129,9 @@
             lose(quarantine, float(number), ("aa", "dd"))
             assert quarantine.held == {"dd"}
 
-    def test_deadly_prompt_is_found_among_many(self):
+    def test_crashing_prompt_is_found_among_many(self):
         # Guards against: an engine had more prompts than are kept of a loss, and the
-        # deadly one is left out each time.
+        # crashing one is left out each time.
         quarantine = SegmentQuarantine()
         prompts = [("aa", f"b{number}") for number in range(60)]
         for number in range(3):
@@ -243,12 +243,12 @@
             assert one.is_same_change(other)
 
     @given(st.lists(st.tuples(SEGMENTS, SEGMENTS, st.booleans()), max_size=40))
-    def test_a_deadly_segment_costs_few_engines(self, prompts):
+    def test_a_crashing_segment_costs_few_engines(self, prompts):
         """Prompts with "dd" crash their engine; others complete."""
         quarantine = SegmentQuarantine()
         losses = 0
-        for number, (first, second, is_deadly) in enumerate(prompts):
-            segments = ("dd", first) if is_deadly else (first, second)
+        for number, (first, second, is_crashing) in enumerate(prompts):
+            segments = ("dd", first) if is_crashing else (first, second)
             now_s = float(number)
             if not isinstance(quarantine.admission(segments, WALL_S), Admitted):
                 continue
--- a/tests/quarantine/test_service.py
+++ b/tests/quarantine/test_service.py
@@ -269,7 +269,7 @@
             entry.read_store()
 
     def test_one_entry_claims_it(self, loop):
-        # Guards against: every entry tries a deadly segment when its hold ends.
+        # Guards against: every entry tries a crashing segment when its hold ends.
         async def scenario(*entries: Entry) -> None:
             await self._hold(*entries)
             results = await asyncio.gather(
