Say why a prompt that is held right before its send is refused

What callers saw: 503 'no backend server' with a Retry-After under half a second, where the segment stays held for seconds. Change: it ends early only if the prompt may have run. Evidence: tests/dispatch/test_quarantine.py, the new test failed before; 83 passed with tests/dispatch, test_known_red.py and test_docs.py.

--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -104,7 +104,9 @@
 
     def _may_retry(self, failure: AttemptFailed) -> bool:
         """Whether the prompt may be sent again; begins the retry if so."""
-        if self._is_trial or self.quarantine_refusal() is not None:
+        if self._is_trial:
+            return False
+        if self._request.may_have_run and self.quarantine_refusal() is not None:
             return False
         return self.try_begin_retry(failure)
 
--- a/gentianhoist/quarantine/core.py
+++ b/gentianhoist/quarantine/core.py
@@ -251,7 +251,7 @@
         return expired
 
     def _blamed_segments(self) -> frozenset[str]:
-        """Segments that explain all losses which need an explanation, fewest first."""
+        """Segments that together explain the losses, as far as there is evidence."""
         # What others hold without evidence here is taken for granted.
         explaining = frozenset(
             item for item in self.held if not self._has_evidence(item)
--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -118,6 +118,23 @@
         assert responder.status == 503
         assert harness.server_state.sends == 0
 
+    def test_prompt_that_is_held_right_before_its_send(self, loop):
+        # Guards against: it is refused as if no server were available, to come back at
+        # once.
+        harness = make_harness(loop, ServerBehaviour.ANSWER)
+
+        async def scenario() -> FakeResponder:
+            serving = asyncio.ensure_future(serve(harness, "aa", "dd"))
+            await asyncio.sleep(0.0005)
+            self._hold_due(harness, in_store=False)
+            return await serving
+
+        responder = loop.run(scenario())
+        assert responder.status == 503
+        assert b"prompt_quarantined" in responder.body
+        assert float(responder.headers[b"Retry-After"]) >= 1.0
+        assert harness.server_state.sends == 0
+
     def test_prompt_that_has_run_is_not_said_to_have_not(self, loop):
         harness = make_harness(loop, ServerBehaviour.RESET_AFTER)
 
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -30,7 +30,9 @@
 @pytest.fixture
 def suite(pytester):
     """A project whose tests are those of `TEST_FILE`."""
-    pytester.makeini("[pytest]\ntestpaths = .")
+    pytester.makeini(
+        "[pytest]\ntestpaths = .\nasyncio_default_fixture_loop_scope = function"
+    )
     pytester.makepyfile(test_a=TEST_FILE)
     pytester.makeconftest("pytest_plugins = ['tests.known_red']")
     return pytester
