Lend parts of the retries that all entries share, and don't risk requests without one

Cause: each entry had an equal part of the retries that the platform allows, in a large fleet one or two or less than one. A request that was refused in a burst at one entry was lost although the fleet had retries left, and an entry without a retry still tried servers whose pause had just ended. Change: package `quotas`. Servers whose pause has just ended are left out while no retry can be paid and others are free, for 5 s at most.

--- a/gentianhoist/backoff/core.py
+++ b/gentianhoist/backoff/core.py
@@ -23,6 +23,9 @@
 _MIN_PROBE_INTERVAL_S = 0.05
 _MAX_PROBE_INTERVAL_S = 0.6
 _PROBE_INTERVAL_RATIO = 1.5
+# Without retries, a server is left alone for so long after its pause while others take
+# requests. Without this limit an entry that gets no retries would never use it again.
+_MAX_UNPROBED_S = 5.0
 
 
 @dataclass
@@ -136,12 +139,22 @@
         return now_s >= max(pause.next_send_s, self._pace(server).next_s)
 
     def available(
-        self, servers: Iterable[BackendServer], now_s: float
+        self,
+        servers: Iterable[BackendServer],
+        now_s: float,
+        *,
+        may_be_refused: bool = True,
     ) -> list[BackendServer]:
         """Return those servers that may be chosen for one request.
 
         Of those whose pause has just ended there is one at most, so that a prompt on
         several engines doesn't depend on many that may refuse.
+
+        Args:
+            servers: The servers.
+            may_be_refused: Whether the request can be sent again after a refusal. If
+                not, servers whose pause has just ended are left out while there are
+                others.
         """
         if not self._pauses:
             return list(servers)
@@ -151,6 +164,8 @@
                 available.append(server)
             elif self.may_send(server, now_s):
                 untried.append(server)
+        if not may_be_refused and available:
+            untried = [item for item in untried if self._is_long_over(item, now_s)]
         if untried:
             available.append(self._rng.choice(untried))
         return available
@@ -185,5 +200,8 @@
         for removed in self._pauses.keys() - incarnations:
             del self._pauses[removed]
 
+    def _is_long_over(self, server: BackendServer, now_s: float) -> bool:
+        return now_s - self._pauses[server.incarnation].until_s > _MAX_UNPROBED_S
+
     def _pace(self, server: BackendServer) -> _ProbePace:
         return self._paces.setdefault(server.group, _ProbePace())
--- a/gentianhoist/dispatch/_buffered_relay.py
+++ b/gentianhoist/dispatch/_buffered_relay.py
@@ -77,12 +77,12 @@
             except AttemptFailed as failure:
                 self.record_failure(server, failure)
                 await self.report_loss(server, failure)
-                if self.may_retry(failure):
+                if await self.may_retry(failure):
                     continue
                 if failed_response is not None:
                     return self._forward(failed_response)
                 raise self.final_error(failure) from failure
-            if not self._try_begin_error_retry(server, complete):
+            if not await self._try_begin_error_retry(server, complete):
                 return self._forward(complete)
             failed_response = complete
 
@@ -253,7 +253,7 @@
             configuration=self._request.configuration_version,
         )
 
-    def _try_begin_error_retry(
+    async def _try_begin_error_retry(
         self, server: BackendServer, complete: _CompleteResponse
     ) -> bool:
         """Begin a retry on another server after a server error, if one is permitted.
@@ -268,7 +268,7 @@
             return False
         request.excluded_ids.add(server.id)
         failure = AttemptFailed(Execution.UNKNOWN, "the server responded with an error")
-        return self.may_retry(failure)
+        return await self.may_retry(failure)
 
     def _forward(self, complete: _CompleteResponse) -> str:
         self._responder.send_response(
--- a/gentianhoist/dispatch/_candidates.py
+++ b/gentianhoist/dispatch/_candidates.py
@@ -52,13 +52,17 @@
         """
         now_s = self._context.clock.monotonic_s()
         group = self.group
-        members = self._state.pauses.available(
+        pauses = self._state.pauses
+        members = pauses.available(
             (
                 server
                 for server in self._state.directory.usable_members(group.name, now_s)
                 if server.id not in self._request.excluded_ids
             ),
             now_s,
+            # One that still refuses costs a retry, or the request.
+            may_be_refused=not pauses
+            or self._context.retry_quotas.can_withdraw(group.name),
         )
         not_ejected = [
             server
--- a/gentianhoist/dispatch/_context.py
+++ b/gentianhoist/dispatch/_context.py
@@ -15,6 +15,7 @@
 from gentianhoist.fleet import BackendServer, RoutingConfiguration
 from gentianhoist.peers import CommitmentPublisher
 from gentianhoist.quarantine import RequestQuarantine
+from gentianhoist.quotas import QuotaExchange
 from gentianhoist.ratelimits import RateLimitExchange
 from gentianhoist.telemetry import DecisionLog, EntryMetrics
 
@@ -58,6 +59,9 @@
         self.rate_limits = RateLimitExchange(
             state.rate_limits, peers, clock, log, self.queue_scheduler.request_scan
         )
+        self.retry_quotas = QuotaExchange(
+            state.retry_quota, peers, clock, log, state.rng
+        )
         self._background_tasks: set[asyncio.Task[None]] = set()
 
     def observe_notice(
--- a/gentianhoist/dispatch/_sender.py
+++ b/gentianhoist/dispatch/_sender.py
@@ -213,7 +213,7 @@
             **progress_fields(progress, self._loop.time()),
         )
 
-    def try_begin_retry(self, failure: AttemptFailed) -> bool:
+    async def try_begin_retry(self, failure: AttemptFailed) -> bool:
         """Begin a retry on another server after a failed attempt, if one is permitted.
 
         Withdraws a retry from the budget, unless the request was not sent or a retry
@@ -227,12 +227,15 @@
         if failure.execution is Execution.UNSENT:
             return True
         reserved, self._retry_reserved = self._retry_reserved, False
-        return (
-            reserved
-            or self._state.retry_budget(self._request.group_name).try_withdraw()
+        return reserved or await self._withdraw_retry()
+
+    async def _withdraw_retry(self) -> bool:
+        request = self._request
+        return await self._context.retry_quotas.withdraw(
+            request.group_name, request.call.id
         )
 
-    def reserve_retry(self, server: BackendServer) -> bool:
+    async def reserve_retry(self, server: BackendServer) -> bool:
         """Reserve a retry; returns whether an unresponsive server may be abandoned.
 
         Without a retry the wait goes on: a timeout alone ends no request. It also goes
@@ -244,8 +247,7 @@
         if not self._candidates.may_send_to_another(server):
             return False
         if not self._retry_reserved and self._has_sends_left:
-            budget = self._state.retry_budget(self._request.group_name)
-            self._retry_reserved = budget.try_withdraw()
+            self._retry_reserved = await self._withdraw_retry()
         return self._retry_reserved
 
     @property
@@ -275,7 +277,7 @@
             try:
                 return await attempt.await_response(wait_deadline_s)
             except AttemptFailed as failure:
-                if not failure.no_response or self.reserve_retry(attempt.server):
+                if not failure.no_response or await self.reserve_retry(attempt.server):
                     raise
                 if wait_deadline_s >= self._request.deadline_s:
                     raise
@@ -329,13 +331,13 @@
                 may_repeat=self._has_sends_left,
             )
 
-    def may_retry(self, failure: AttemptFailed) -> bool:
+    async def may_retry(self, failure: AttemptFailed) -> bool:
         """Whether the request may be sent again; begins the retry if so."""
         if self._is_trial:
             return False
         if self._request.may_have_run and self.quarantine_refusal() is not None:
             return False
-        return self.try_begin_retry(failure)
+        return await self.try_begin_retry(failure)
 
     def no_server_error(self, reason: str) -> HoistError:
         """The error for the caller when no server can be chosen."""
--- a/gentianhoist/dispatch/_state.py
+++ b/gentianhoist/dispatch/_state.py
@@ -23,8 +23,9 @@
     QueueOrder,
     ServerHealthRegistry,
 )
+from gentianhoist.quotas import SharedQuota
 from gentianhoist.ratelimits import RateLimits, TurnQueue
-from gentianhoist.routing import RetryBudget, rendezvous_weight
+from gentianhoist.routing import rendezvous_weight
 
 __all__ = ["DispatchPolicy", "DispatchState"]
 
@@ -126,7 +127,7 @@
         self._assumed_entries = policy.min_entries
         self._engine_order: dict[str, float] = {}
         self._pools: dict[tuple[str, str, int], ConnectionPool] = {}
-        self._retry_budgets: dict[str, RetryBudget] = {}
+        self._retry_quotas: dict[str, SharedQuota] = {}
         self._turns: dict[str, TurnQueue] = {}
 
     def set_entry_count(self, count: int) -> None:
@@ -145,11 +146,11 @@
         if entries == self._assumed_entries:
             return
         self._assumed_entries = entries
-        for budget in self._retry_budgets.values():
-            budget.resize(self._retry_budget_capacity)
+        for quota in self._retry_quotas.values():
+            quota.resize(self._retry_quota_capacity)
 
     @property
-    def _retry_budget_capacity(self) -> float:
+    def _retry_quota_capacity(self) -> float:
         return self.policy.retry_budget_capacity / self._assumed_entries
 
     def pool(self, server: BackendServer, group: ServerGroup) -> ConnectionPool:
@@ -181,13 +182,13 @@
         random_cost = _RANDOM_COST_PER_ENTRY * self.live_entries
         return _ORDER_COST * order + random_cost * self.rng.random()
 
-    def retry_budget(self, group: str) -> RetryBudget:
-        """This entry's share of the retries to a server group."""
-        budget = self._retry_budgets.get(group)
-        if budget is None:
-            budget = RetryBudget(self.policy.retry_ratio, self._retry_budget_capacity)
-            self._retry_budgets[group] = budget
-        return budget
+    def retry_quota(self, group: str) -> SharedQuota:
+        """This entry's part of the retries to a server group."""
+        quota = self._retry_quotas.get(group)
+        if quota is None:
+            quota = SharedQuota(self.policy.retry_ratio, self._retry_quota_capacity)
+            self._retry_quotas[group] = quota
+        return quota
 
     def turns(self, group: str) -> TurnQueue:
         """Requests without streaming that wait for the rate limits of a server group.
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -74,7 +74,7 @@
                 writing_s = self._progress.writing_s(self._loop.time())
                 if writing_s <= _MAX_SUSPECT_WRITING_S:
                     await self.report_loss(engine, failure)
-                if not self.may_retry(failure):
+                if not await self.may_retry(failure):
                     return self._end_after_failure(failure)
             finally:
                 self._placer.release(reserved)
@@ -203,8 +203,9 @@
                 async with asyncio.timeout_at(wait_deadline_s):
                     return await attempt.read_chunk()
             except TimeoutError:
-                if wait_deadline_s >= self._request.deadline_s or self.reserve_retry(
-                    attempt.server
+                if (
+                    wait_deadline_s >= self._request.deadline_s
+                    or await self.reserve_retry(attempt.server)
                 ):
                     raise AttemptFailed(
                         Execution.UNKNOWN,
--- a/gentianhoist/dispatch/core.py
+++ b/gentianhoist/dispatch/core.py
@@ -69,7 +69,7 @@
             )
         request = self._context.match(call, configuration)
         request.group_name = self._context.choose_group(request)
-        self._context.state.retry_budget(request.group_name).deposit()
+        self._context.state.retry_quota(request.group_name).deposit()
         return request
 
     def _send_error(self, call: Call, responder: Responder, error: HoistError) -> str:
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -127,6 +127,7 @@
         )
         self._peers.set_rate_limits(self._dispatch.rate_limits)
         self._peers.set_leaving(self._dispatch)
+        self._peers.set_quotas(self._dispatch.retry_quotas)
         self._dispatcher = Dispatcher(self._dispatch)
         self._caller_server = HttpServer(
             self._serve, lambda: self._state.routing.limits, self._count_unreadable
--- a/gentianhoist/peers/_messages.py
+++ b/gentianhoist/peers/_messages.py
@@ -6,6 +6,7 @@
 
 from gentianhoist.placement import Commitment
 from gentianhoist.quarantine import QuarantineRecord
+from gentianhoist.quotas import Loan, LoanRequest
 from gentianhoist.ratelimits import RateLimitReport
 
 __all__ = [
@@ -15,6 +16,8 @@
     "EngineLossReported",
     "FirstEventReceived",
     "Message",
+    "QuotaLent",
+    "QuotaRequested",
     "PromptCompleted",
     "RateLimitUsed",
     "SegmentRecorded",
@@ -199,6 +202,26 @@
     server: tuple[str, str, int]
 
 
+class QuotaRequested(msgspec.Struct, tag="b", array_like=True):
+    """The sender lacks a part of one unit of a shared quota.
+
+    Attributes:
+        request: What it asks for.
+    """
+
+    request: LoanRequest
+
+
+class QuotaLent(msgspec.Struct, tag="o", array_like=True):
+    """The sender gives up a part of its quota in favour of the receiver.
+
+    Attributes:
+        loan: What it gives up.
+    """
+
+    loan: Loan
+
+
 class SyncRequest(msgspec.Struct, tag="h", array_like=True):
     """An entry requests all current commitments of the receiver.
 
@@ -218,6 +241,8 @@
     | SegmentRecorded
     | RateLimitUsed
     | ServerLeaving
+    | QuotaRequested
+    | QuotaLent
     | SyncRequest
 )
 
--- a/gentianhoist/peers/_publishers.py
+++ b/gentianhoist/peers/_publishers.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Sequence
 from typing import Protocol
 
 from gentianhoist.placement import Commitment
 from gentianhoist.quarantine import EngineLoss, QuarantineRecord
+from gentianhoist.quotas import Loan, LoanRequest
 from gentianhoist.ratelimits import RateLimitReport
 
 __all__ = [
@@ -14,6 +15,7 @@
     "LeavingListener",
     "NullCommitmentPublisher",
     "QuarantineListener",
+    "QuotaListener",
     "RateLimitListener",
 ]
 
@@ -53,6 +55,15 @@
         """Publish that a server, given by its incarnation, is about to stop."""
         ...
 
+    @property
+    def live_hosts(self) -> Sequence[str]:
+        """IP addresses of the other entries that were heard from recently."""
+        ...
+
+    def publish_quota(self, message: LoanRequest | Loan, host: str) -> None:
+        """Send a message about a shared quota to one entry, given by its address."""
+        ...
+
 
 class RateLimitListener(Protocol):
     """Receives what other entries publish about the rate limits of servers."""
@@ -100,6 +111,18 @@
         ...
 
 
+class QuotaListener(Protocol):
+    """Receives requests for parts of shared quotas, and the answers."""
+
+    def receive_request(self, host: str, request: LoanRequest) -> None:
+        """Take the request of an entry, given by its IP address."""
+        ...
+
+    def receive_loan(self, host: str, loan: Loan) -> None:
+        """Take a loan of an entry, given by its IP address."""
+        ...
+
+
 class NullCommitmentPublisher:
     """Publishes nothing, for an entry without peers.
 
@@ -126,3 +149,11 @@
 
     def publish_leaving(self, server: tuple[str, str, int]) -> None:
         """Do nothing."""
+
+    @property
+    def live_hosts(self) -> Sequence[str]:
+        """Return nothing."""
+        return ()
+
+    def publish_quota(self, message: LoanRequest | Loan, host: str) -> None:
+        """Do nothing."""
--- a/gentianhoist/peers/core.py
+++ b/gentianhoist/peers/core.py
@@ -18,6 +18,8 @@
     FirstEventReceived,
     Message,
     PromptCompleted,
+    QuotaLent,
+    QuotaRequested,
     RateLimitUsed,
     SegmentRecorded,
     ServerLeaving,
@@ -26,10 +28,12 @@
 from gentianhoist.peers._publishers import (
     LeavingListener,
     QuarantineListener,
+    QuotaListener,
     RateLimitListener,
 )
 from gentianhoist.placement import Commitment, CommitmentLedger
 from gentianhoist.quarantine import EngineLoss, QuarantineRecord
+from gentianhoist.quotas import Loan, LoanRequest
 from gentianhoist.ratelimits import RateLimitReport
 
 __all__ = ["PeerLink"]
@@ -52,6 +56,7 @@
 class _Peer:
     """One incarnation of another entry, and the ids of its current commitments."""
 
+    host: str
     incarnation: str
     last_datagram_s: float = 0.0
     commitments: set[str] = field(default_factory=set)
@@ -95,6 +100,7 @@
         self._quarantine: QuarantineListener | None = None
         self._rate_limits: RateLimitListener | None = None
         self._leaving: LeavingListener | None = None
+        self._quotas: QuotaListener | None = None
         self._records_sent_s = float("-inf")
         self._next_record = 0
         self._last_sent_s = float("-inf")
@@ -214,6 +220,25 @@
             self._directed.setdefault(host, []).append(message)
         self._schedule_flush()
 
+    def set_quotas(self, listener: QuotaListener) -> None:
+        """Set the receiver of messages about shared quotas."""
+        self._quotas = listener
+
+    def publish_quota(self, message: LoanRequest | Loan, host: str) -> None:
+        """Send a message about a shared quota to one entry.
+
+        Args:
+            message: The message.
+            host: IP address of the entry.
+        """
+        match message:
+            case LoanRequest():
+                wire: Message = QuotaRequested(message)
+            case Loan():
+                wire = QuotaLent(message)
+        self._directed.setdefault(host, []).append(wire)
+        self._schedule_flush()
+
     def set_leaving(self, listener: LeavingListener) -> None:
         """Set the receiver of servers that are about to stop."""
         self._leaving = listener
@@ -290,7 +315,7 @@
             self._remove_peer(host)
             peer = None
         if peer is None:
-            peer = self._live_peers[host] = _Peer(incarnation)
+            peer = self._live_peers[host] = _Peer(host, incarnation)
             self._peer_hosts.add(host)
         return peer
 
@@ -320,6 +345,12 @@
             case ServerLeaving(server=server):
                 if self._leaving is not None:
                     self._leaving.hear_leaving(server)
+            case QuotaRequested(request=request):
+                if self._quotas is not None:
+                    self._quotas.receive_request(peer.host, request)
+            case QuotaLent(loan=loan):
+                if self._quotas is not None:
+                    self._quotas.receive_loan(peer.host, loan)
             case SyncRequest(host=host):
                 self._send_state(host, now_s)
             case EngineLossReported() | PromptCompleted() | SegmentRecorded():
--- a/tests/dispatch/test_at_most_once.py
+++ b/tests/dispatch/test_at_most_once.py
@@ -222,7 +222,7 @@
     @pytest.mark.parametrize("streaming", [False, True])
     def test_a_slow_server_is_waited_for_when_the_budget_is_spent(self, streaming):
         def exhaust_budget(harness) -> None:
-            while harness.state.retry_budget("g").try_withdraw():
+            while harness.state.retry_quota("g").try_withdraw():
                 continue
 
         harness, responder, _ = _serve(
--- a/tests/dispatch/test_candidates.py
+++ b/tests/dispatch/test_candidates.py
@@ -34,6 +34,6 @@
     paused = harness.servers[0]
     harness.state.pauses.begin(paused, PAUSE_S, -2 * PAUSE_S)
     assert paused in candidates.servers()
-    while harness.state.retry_budget("g").try_withdraw():
+    while harness.state.retry_quota("g").try_withdraw():
         pass
     assert paused not in candidates.servers()
--- a/tests/dispatch/test_entry_quotas.py
+++ b/tests/dispatch/test_entry_quotas.py
@@ -41,7 +41,7 @@
     def test_retry_no_more_than_the_capacity_without_traffic(self, count):
         retries = 0
         for state in _entry_states(count):
-            while state.retry_budget("g").try_withdraw():
+            while state.retry_quota("g").try_withdraw():
                 retries += 1
         assert retries <= MAX_RETRY_BUDGET_CAPACITY
 
@@ -54,6 +54,6 @@
 class TestANewEntry:
     def test_shrinks_the_shares_of_others_at_once(self):
         (state,) = _entry_states(1)
-        budget = state.retry_budget("g")
+        budget = state.retry_quota("g")
         state.set_entry_count(40)
         assert sum(budget.try_withdraw() for _ in range(100)) <= 2
