Place prompts that can be on time first, and refuse late ones without a chance

Cause: the queue for engines went by deadlines, so more work than the engines take made all of it late; callers waited until it was too late to ask again; new requests of the organisation that floods passed those that waited; and one scan weighed engines for each waiting prompt, for tenths of a second on a small processor. Change: requests that can still be on time come before late ones; a late one for which no engine has room is refused at once, as not run, if those ahead of it won't be placed in time (`LateDrain`); an organisation over its fair share doesn't pass the queue; a scan tries eight requests and the next goes on. Evidence: TestMoreWorkThanEnginesTake in tests/placement/test_queue.py.

--- a/gentianhoist/dispatch/_prompt_placer.py
+++ b/gentianhoist/dispatch/_prompt_placer.py
@@ -140,7 +140,8 @@
         self._constraints.raise_if_all_pause()
         item = self._queue_item(id_)
         ahead = self._state.queue.rate_limited(item.group)
-        if self._state.queue.can_bypass:
+        now_s = self._context.clock.monotonic_s()
+        if self._state.queue.can_bypass(self._request.organisation_name, now_s):
             placement = UnplacedReason.RATE_LIMITED
             if not ahead:
                 placement = self._try_place(id_)
@@ -210,19 +211,23 @@
             _LONG_PREFILL_RETRY_INTERVAL_S
             if has_long_prefill
             else _SHORT_PREFILL_RETRY_INTERVAL_S,
+            on_time_until_s=now_s + demand.ttft_budget_s - self._min_prefill_s(demand),
         )
         return item
 
     def _slack_s(self, demand: Demand) -> float:
         """Seconds it can wait before the caller disconnects or the deadline passes."""
-        prefill_s = self._profile().prefill_s(demand.prompt_tokens)
-        share_prefill_s = prefill_s / _TYPICAL_PREFILL_ENGINES
         now_s = self._loop.time()
         disconnect_slack_s = (
             self._request.no_event_deadline_s - now_s - _NO_EVENT_MARGIN_S
         )
         decode_slack_s = self._request.remaining_s(now_s) - self._decode_s(demand)
-        return min(disconnect_slack_s, decode_slack_s) - share_prefill_s
+        return min(disconnect_slack_s, decode_slack_s) - self._min_prefill_s(demand)
+
+    def _min_prefill_s(self, demand: Demand) -> float:
+        """Seconds of prefill if several engines share it."""
+        prefill_s = self._profile().prefill_s(demand.prompt_tokens)
+        return prefill_s / _TYPICAL_PREFILL_ENGINES
 
     def _try_place(
         self, id_: str, item: QueuedRequest | None = None
--- a/gentianhoist/placement/_queue.py
+++ b/gentianhoist/placement/_queue.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum, StrEnum
 
 from gentianhoist.capacity import FairShares
+from gentianhoist.placement._late_drain import LateDrain
 from gentianhoist.placement._model import Demand, Placement
 
 __all__ = [
@@ -23,6 +25,9 @@
 _OVER_SHARE_SLACK_RATIO = 2.0
 _EQUAL_WEIGHT = 1.0
 _RETRY_AFTER_S = 0.5
+_MAX_RETRY_AFTER_S = 3.0
+# A scan of a long queue would hold up all other work of the entry.
+_MAX_TRIES_PER_SCAN = 8
 # Before the highest priority of a request, 0.
 _RATE_LIMITED_PRIORITY = -1
 
@@ -58,7 +63,7 @@
     is_rate_limited: bool = False
 
 
-@dataclass
+@dataclass(eq=False)
 class QueuedRequest:
     """A request that waits for placement.
 
@@ -76,6 +81,10 @@
         next_try_s: Earliest time of the next try, on the entry's clock.
         rate_limited_since_s: Since when it waits for the rate limits of the engines, on
             the entry's clock; None if it doesn't.
+        on_time_until_s: Latest time of a placement with which its first event is still
+            on time, on the entry's clock.
+        lacks_capacity: Whether no engine had room for it at the last scan; it may also
+            wait by choice.
     """
 
     demand: Demand
@@ -88,11 +97,20 @@
     retry_interval_s: float = 0.01
     next_try_s: float = float("-inf")
     rate_limited_since_s: float | None = None
+    on_time_until_s: float = float("inf")
+    lacks_capacity: bool = False
+
+    def is_late(self, now_s: float) -> bool:
+        """Whether its first event will be late in any case."""
+        return now_s > self.on_time_until_s
 
     def order(
         self, now_s: float, over_share: frozenset[str] = frozenset()
-    ) -> tuple[int, float]:
-        """Return the sort key: priority, then slack times size per value.
+    ) -> tuple[int, bool, float]:
+        """Return the sort key: priority, whether it is late, slack and size per value.
+
+        Requests that can still be on time come before those that are late already.
+        Otherwise more work than the engines take for a while makes all of it late.
 
         Requests that wait for rate limits come before all others, in the order in which
         they began to wait, so that no kind of request is preferred.
@@ -107,14 +125,18 @@
             The key; lower keys are placed first.
         """
         if self.rate_limited_since_s is not None:
-            return (_RATE_LIMITED_PRIORITY, self.rate_limited_since_s)
+            return (_RATE_LIMITED_PRIORITY, False, self.rate_limited_since_s)
+        is_late = self.is_late(now_s)
+        end_s = self.latest_start_s
+        if not is_late:
+            end_s = min(end_s, self.on_time_until_s)
         # The floor keeps size and value effective when no slack is left.
-        slack_s = max(0.05, self.latest_start_s - now_s)
+        slack_s = max(0.05, end_s - now_s)
         if self.organisation in over_share:
             slack_s *= _OVER_SHARE_SLACK_RATIO
         # The factor grows by 1 with each 20,000 tokens of KV cache.
         size_factor = 1.0 + self.demand.kv_tokens / 20_000
-        return (self.priority, slack_s * size_factor / self.demand.value)
+        return (self.priority, is_late, slack_s * size_factor / self.demand.value)
 
 
 class PlacementQueue:
@@ -128,6 +150,9 @@
         self._order = order
         self._queued: list[QueuedRequest] = []
         self._shares = FairShares()
+        self._late_drain = LateDrain()
+        # Requests that the last scan had no time for; the next one begins with them.
+        self._untried: list[QueuedRequest] = []
 
     def __len__(self) -> int:
         return len(self._queued)
@@ -144,10 +169,21 @@
             for item in self._queued
         )
 
-    @property
-    def can_bypass(self) -> bool:
-        """Whether a new request may be placed before the queued ones."""
-        return self._order is QueueOrder.BY_VALUE or not self._queued
+    def can_bypass(self, organisation: str, now_s: float) -> bool:
+        """Whether a new request may be placed before the queued ones.
+
+        An organisation that sends most of the requests would otherwise take nearly all
+        that becomes free, while those of others wait.
+
+        Args:
+            organisation: Organisation of the caller; empty if unknown.
+            now_s: Current time on the entry's clock, in seconds.
+        """
+        if not self._queued:
+            return True
+        if self._order is not QueueOrder.BY_VALUE:
+            return False
+        return organisation not in self._shares.organisations_over_share(now_s)
 
     def charge(self, organisation: str, tokens: int, now_s: float) -> None:
         """Charge placed work to its organisation, whether it was queued or not.
@@ -176,6 +212,7 @@
         for request in list(self._queued):
             if now_s >= request.latest_start_s:
                 self._settle(request, _late_refusal(request))
+        self._refuse_hopeless(now_s)
         match self._order:
             case QueueOrder.FIRST_COME:
                 self._place_first_come()
@@ -196,15 +233,19 @@
         sorted_requests = sorted(
             self._queued, key=lambda request: request.order(now_s, over_share)
         )
-        for request in sorted_requests:
+        untried = [request for request in self._untried if request in self._queued]
+        remaining = deque(dict.fromkeys([*untried, *sorted_requests]))
+        tries = 0
+        while remaining and tries < _MAX_TRIES_PER_SCAN:
+            request = remaining.popleft()
             # Where one request found no capacity, none that is as large finds any, so
             # these are not tried. This keeps a retry cheap when the fleet is full.
-            if (
-                request.demand.kv_tokens >= smallest_unplaced_tokens
-                or request.group in rate_limited_groups
-                or now_s < request.next_try_s
-            ):
+            if request.demand.kv_tokens >= smallest_unplaced_tokens:
+                request.lacks_capacity = True
+                continue
+            if request.group in rate_limited_groups or now_s < request.next_try_s:
                 continue
+            tries += 1
             match request.try_place():
                 case UnplacedReason.RATE_LIMITED:
                     rate_limited_groups.add(request.group)
@@ -213,10 +254,35 @@
                 case UnplacedReason() as reason:
                     request.rate_limited_since_s = None
                     request.next_try_s = now_s + request.retry_interval_s
-                    if reason is UnplacedReason.NO_CAPACITY:
+                    request.lacks_capacity = reason is UnplacedReason.NO_CAPACITY
+                    if request.lacks_capacity:
                         smallest_unplaced_tokens = request.demand.kv_tokens
                 case result:
+                    if isinstance(result, Placement) and request.is_late(now_s):
+                        self._late_drain.record_placed()
                     self._settle(request, result)
+        self._untried = list(remaining)
+
+    def _refuse_hopeless(self, now_s: float) -> None:
+        """Refuse late requests that don't get their turn before they have to start."""
+        late = [
+            request
+            for request in self._queued
+            if request.is_late(now_s)
+            and request.lacks_capacity
+            and request.rate_limited_since_s is None
+        ]
+        self._late_drain.observe(len(late), now_s)
+        late.sort(key=lambda request: request.latest_start_s)
+        ahead = 0
+        for request in late:
+            wait_s = self._late_drain.expected_wait_s(ahead, now_s)
+            if now_s + wait_s > request.latest_start_s:
+                retry_after_s = min(_MAX_RETRY_AFTER_S, max(_RETRY_AFTER_S, wait_s))
+                reason = "too many requests wait for engines"
+                self._settle(request, PlacementRefused(reason, retry_after_s))
+            else:
+                ahead += 1
 
     def _settle(
         self, request: QueuedRequest, result: Placement | PlacementRefused
--- a/tests/placement/test_queue.py
+++ b/tests/placement/test_queue.py
@@ -120,13 +120,13 @@
 class TestFirstComeBaseline:
     async def test_no_request_passes_an_earlier_one(self):
         queue = PlacementQueue(QueueOrder.FIRST_COME)
-        assert queue.can_bypass
+        assert queue.can_bypass("", 0.0)
         queue.add(_queued(_demand(200_000), lambda: UnplacedReason.NO_CAPACITY))
         small = _queued(_demand(5_000), lambda: _PLACED)
         queue.add(small)
         queue.place_waiting(0.0)
         assert not small.result.done()
-        assert not queue.can_bypass
+        assert not queue.can_bypass("", 0.0)
 
 
 class TestRateLimits:
@@ -160,3 +160,89 @@
             queue.add(item)
         queue.place_waiting(3.0)
         assert placed == ["early", "late"]
+
+
+class TestMoreWorkThanEnginesTake:
+    """Callers send several times what the engines serve, for seconds."""
+
+    def _join(
+        self, queue, name, order, *, on_time_until_s, latest_start_s, places=True
+    ) -> QueuedRequest:
+        def place() -> Placement | UnplacedReason:
+            if not places:
+                return UnplacedReason.NO_CAPACITY
+            order.append(name)
+            return _PLACED
+
+        request = _queued(_demand(5_000), place, latest_start_s)
+        request.on_time_until_s = on_time_until_s
+        queue.add(request)
+        return request
+
+    async def test_requests_that_can_be_on_time_come_first(self):
+        """In the order of their deadlines, all of them would be late."""
+        queue, order = PlacementQueue(), []
+        self._join(queue, "late", order, on_time_until_s=0.5, latest_start_s=1.1)
+        self._join(queue, "new", order, on_time_until_s=1.3, latest_start_s=3.0)
+        queue.place_waiting(1.0)
+        assert order == ["new", "late"]
+
+    async def test_late_request_without_a_chance_is_refused_at_once(self):
+        """Its caller would be told only when it is too late to ask again."""
+        queue, order = PlacementQueue(), []
+        waiting = [
+            self._join(
+                queue,
+                "late",
+                order,
+                on_time_until_s=0.0,
+                latest_start_s=4.0,
+                places=False,
+            )
+            for _ in range(20)
+        ]
+        for tenth in range(1, 11):
+            queue.place_waiting(tenth / 10)
+        refused = [item for item in waiting if item.result.done()]
+        assert 10 <= len(refused) < 20
+        assert all(item.result.result().retry_after_s >= 0.5 for item in refused)
+
+    async def test_late_request_that_waits_by_choice_is_kept(self):
+        queue = PlacementQueue()
+        request = _queued(_demand(50_000), lambda: UnplacedReason.WORTH_WAITING)
+        request.on_time_until_s = 0.0
+        queue.add(request)
+        for tenth in range(1, 30):
+            queue.place_waiting(tenth / 10)
+        assert not request.result.done()
+
+    async def test_one_scan_tries_few_requests_and_the_next_goes_on(self):
+        """A scan that weighs engines for each of hundreds holds up all other work."""
+        queue = PlacementQueue()
+        tried: list[int] = []
+
+        def place(number: int):
+            def try_place() -> UnplacedReason:
+                tried.append(number)
+                return UnplacedReason.WORTH_WAITING
+
+            return try_place
+
+        for number in range(40):
+            queue.add(_queued(_demand(5_000), place(number)))
+        queue.place_waiting(0.0)
+        assert len(tried) <= 8
+        for scan in range(1, 6):
+            queue.place_waiting(scan * 1.0)
+        assert set(tried) == set(range(40))
+
+    async def test_flooding_organisation_does_not_bypass_those_that_wait(self):
+        """Its requests come so often that they find most of what becomes free."""
+        queue = PlacementQueue()
+        for _ in range(50):
+            queue.charge("large", 5_000, 0.0)
+        queue.charge("small", 5_000, 0.0)
+        assert queue.can_bypass("large", 0.0)
+        queue.add(_queued(_demand(5_000), lambda: UnplacedReason.NO_CAPACITY))
+        assert not queue.can_bypass("large", 0.0)
+        assert queue.can_bypass("small", 0.0)
