Read the store's tables through a few entries in a large fleet

Answers say how long ago the store confirmed them; an entry without a fresh one polls the store itself. Not relayed: the registry of entries.

--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -22,9 +22,11 @@
 )
 from gentianhoist.exceptions import HoistError
 from gentianhoist.fleet import (
+    ChangeFeed,
     EntryRegistry,
     FeedRow,
     FollowPolicy,
+    RelayedFeed,
     RestorePolicy,
     TableFollower,
 )
@@ -218,7 +220,9 @@
         return [
             TableFollower(
                 "operators",
-                adapter.operators_feed,
+                self._relayed(
+                    "operators", adapter.operators_feed, settings.operators_feed_policy
+                ),
                 settings.operators_feed_policy,
                 self._replace_operator_rows,
                 self._change_operator_rows,
@@ -233,7 +237,9 @@
             ),
             TableFollower(
                 "servers",
-                adapter.servers_feed,
+                self._relayed(
+                    "servers", adapter.servers_feed, settings.servers_feed_policy
+                ),
                 settings.servers_feed_policy,
                 self._replace_servers,
                 self._change_servers,
@@ -251,7 +257,9 @@
             ),
             TableFollower(
                 "quarantine",
-                adapter.quarantine_feed,
+                self._relayed(
+                    "quarantine", adapter.quarantine_feed, _QUARANTINE_FEED_POLICY
+                ),
                 _QUARANTINE_FEED_POLICY,
                 self._replace_quarantine,
                 self._quarantine.change_rows,
@@ -261,6 +269,22 @@
             ),
         ]
 
+    def _relayed(
+        self, table: str, feed: ChangeFeed, policy: FollowPolicy
+    ) -> RelayedFeed:
+        def record_source(source: str | None) -> None:
+            self._log.record("table_source", table=table, source=source or "store")
+
+        return RelayedFeed(
+            table,
+            feed,
+            self._settings.host,
+            self._table_exchange,
+            policy.poll_pause_s,
+            self._clock,
+            record_source,
+        )
+
     async def _serve(self, request: CallerRequest, responder: Responder) -> None:
         try:
             call = self._adapter.decode_call(request)
