Weigh cold engines that take requests, and relay no rewritten heartbeats

Change: only engines that take no request now are weighed last; those that failed or name a limit weigh some requests more.

--- a/gentianhoist/dispatch/_engine_candidates.py
+++ b/gentianhoist/dispatch/_engine_candidates.py
@@ -7,12 +7,22 @@
 
 from gentianhoist.dispatch._state import DispatchState
 from gentianhoist.fleet import BackendServer, ServerGroup
-from gentianhoist.placement import Candidate, FleetLoad, ShortlistPolicy, make_shortlist
+from gentianhoist.placement import (
+    UNAVAILABLE,
+    Candidate,
+    FleetLoad,
+    ShortlistPolicy,
+    make_shortlist,
+)
 
 __all__ = ["EngineCandidates", "all_candidates", "shortlisted_candidates"]
 
 # Value of leaving an engine that names a rate limit to requests that need it more.
 _RATE_LIMITED_COST = 0.1
+# Requests that an engine weighs more that failed recently or has turned slow, and one
+# that names a rate limit.
+_SUSPECT_REQUESTS = 3.0
+_LIMITED_REQUESTS = 2.0
 
 
 class EngineCandidates(NamedTuple):
@@ -50,7 +60,7 @@
         state.ledger,
         now_s,
         rank_idle=lambda server: state.engine_rank(server.id),
-        is_restricted=_restriction(state, servers, now_s),
+        extra_requests=_extra_requests(state, group, servers, now_s),
         policy=policy,
     )
     return EngineCandidates(
@@ -91,10 +101,16 @@
     )
 
 
-def _restriction(
-    state: DispatchState, servers: Sequence[BackendServer], now_s: float
-) -> Callable[[BackendServer], bool] | None:
-    """Return which engines are cold, name a rate limit, or failed recently."""
+def _extra_requests(
+    state: DispatchState,
+    group: ServerGroup,
+    servers: Sequence[BackendServer],
+    now_s: float,
+) -> Callable[[BackendServer], float] | None:
+    """Return how much more engines weigh that fail, are limited or cold.
+
+    A cold engine that takes a request now weighs no more: it has no other work.
+    """
     limits = state.rate_limits
     suspects = state.server_health.suspects(now_s)
     has_limits = len(limits) > 0
@@ -102,11 +118,16 @@
     if not (suspects or has_limits or has_cold):
         return None
 
-    def is_restricted(server: BackendServer) -> bool:
-        return (
-            now_s < server.cold_until_s
-            or (bool(suspects) and server.incarnation in suspects)
-            or (has_limits and limits.limit_per_s(server) is not None)
-        )
-
-    return is_restricted
+    def extra_requests(server: BackendServer) -> float:
+        if not state.is_within_cold_limit(server, group, now_s):
+            return UNAVAILABLE
+        extra = 0.0
+        if suspects and server.incarnation in suspects:
+            extra += _SUSPECT_REQUESTS
+        if has_limits and limits.limit_per_s(server) is not None:
+            if not limits.can_send(server, now_s):
+                return UNAVAILABLE
+            extra += _LIMITED_REQUESTS
+        return extra
+
+    return extra_requests
--- a/gentianhoist/fleet/_change_log.py
+++ b/gentianhoist/fleet/_change_log.py
@@ -47,16 +47,20 @@
         while len(self._changes) > _MAX_CHANGES:
             self._complete_since = self._changes.popleft()[0]
 
-    def append_difference(
+    def append_membership(
         self,
         before: Mapping[str, FeedRow],
         after: Mapping[str, FeedRow],
         version: StoreVersion,
     ) -> None:
-        """Add what a snapshot shows to have changed."""
-        changed = [row for row in after.values() if before.get(row.key) != row]
+        """Add the rows that a snapshot shows to be new or gone.
+
+        Heartbeats rewrite rows without a change in the feed, so a difference in content
+        is no change that others lack.
+        """
+        added = [after[key] for key in after.keys() - before.keys()]
         removed = [FeedRow(key, None, version) for key in before.keys() - after.keys()]
-        self.append([*changed, *removed], version)
+        self.append([*added, *removed], version)
 
     def since(self, version: StoreVersion) -> list[FeedRow] | None:
         """Return the changes after a version, or None if they aren't all known."""
--- a/gentianhoist/fleet/_table_copy.py
+++ b/gentianhoist/fleet/_table_copy.py
@@ -127,7 +127,7 @@
         if page.version.history > self._version.history or not self._log.is_started:
             self._log.restart(page.version)
         else:
-            self._log.append_difference(self._rows, rows, page.version)
+            self._log.append_membership(self._rows, rows, page.version)
         if self._memory is not None:
             if page.version.history > self._version.history:
                 known = self._memory.overlay(self._rows)
--- a/gentianhoist/placement/__init__.py
+++ b/gentianhoist/placement/__init__.py
@@ -30,6 +30,7 @@
 from gentianhoist.placement._shortlist import (
     GANG,
     ONE_ENGINE,
+    UNAVAILABLE,
     FleetLoad,
     Shortlist,
     ShortlistPolicy,
@@ -50,6 +51,7 @@
     "Candidate",
     "GANG",
     "ONE_ENGINE",
+    "UNAVAILABLE",
     "ColdStartBudget",
     "Commitment",
     "CommitmentLedger",
--- a/gentianhoist/placement/_shortlist.py
+++ b/gentianhoist/placement/_shortlist.py
@@ -17,14 +17,15 @@
 __all__ = [
     "GANG",
     "ONE_ENGINE",
+    "UNAVAILABLE",
     "FleetLoad",
     "ShortlistPolicy",
     "Shortlist",
     "make_shortlist",
 ]
 
-# Requests that an engine weighs more if its use is limited or it failed recently.
-_RESTRICTED_REQUESTS = 1e6
+# Extra requests of an engine that takes none now.
+UNAVAILABLE = 1e6
 # Prefill backlog up to which an engine counts as idle for the load of the fleet.
 _IDLE_BACKLOG_S = 0.15
 
@@ -78,7 +79,7 @@
     now_s: float,
     *,
     rank_idle: Callable[[BackendServer], float],
-    is_restricted: Callable[[BackendServer], bool] | None = None,
+    extra_requests: Callable[[BackendServer], float] | None = None,
     policy: ShortlistPolicy = GANG,
 ) -> Shortlist:
     """Select the engines that are worth weighing.
@@ -88,8 +89,8 @@
         ledger: Commitments on them.
         now_s: Current time on the entry's clock, in seconds.
         rank_idle: Rank of an engine among idle ones, lower is preferred.
-        is_restricted: Whether an engine is to be avoided while others are free; None
-            if there is no such engine.
+        extra_requests: Requests that an engine weighs more than its load says, or
+            `UNAVAILABLE`; None if there is no such engine.
         policy: Which engines are worth weighing.
     """
     size = policy.size
@@ -100,16 +101,16 @@
     for position, server in enumerate(servers):
         load = loads.get(server.id)
         rank = 0.0
-        if is_restricted is not None and is_restricted(server):
-            rank = _RESTRICTED_REQUESTS
+        if extra_requests is not None:
+            rank = extra_requests(server)
         if load is not None:
             backlog_s = load.backlog_s(now_s)
             requests += load.requests
-            idle_engines += not rank and backlog_s <= _IDLE_BACKLOG_S
+            idle_engines += rank < UNAVAILABLE and backlog_s <= _IDLE_BACKLOG_S
             rank += load.commitments + backlog_s / policy.backlog_per_request_s
         if rank:
             ranked.append((rank, position))
-            unrestricted += rank < _RESTRICTED_REQUESTS
+            unrestricted += rank < UNAVAILABLE
         else:
             idle.append(server)
     fleet_load = FleetLoad(idle_engines + len(idle), requests)
--- a/tests/dispatch/test_engine_candidates.py
+++ b/tests/dispatch/test_engine_candidates.py
@@ -5,13 +5,14 @@
 from gentianhoist.dispatch import DispatchPolicy, DispatchState
 from gentianhoist.dispatch._engine_candidates import shortlisted_candidates
 from gentianhoist.fleet import BackendServer, ServerGroup
-from gentianhoist.placement import ONE_ENGINE, choose_engines
+from gentianhoist.placement import ONE_ENGINE, Commitment, choose_engines
 from tests.placement.test_choice import PROFILE, SHORT
 
 ENTRIES = 68
 ENGINES = 195
 SERVERS = [BackendServer(f"s{i}", "g", "10.0.0.1", i, "z", 5) for i in range(ENGINES)]
 GROUP = ServerGroup("g", 400, 0.0, 0.0, PROFILE)
+BUSY = Commitment("", "", False, 0.0, 1.0, 5_000, 0.25, 1.5, 9.0, 9.0)
 
 
 def _choose(state: DispatchState) -> str:
@@ -46,3 +47,24 @@
     state = DispatchState(DispatchPolicy(), seed=1)
     state.set_heard_entries(1, ENTRIES)
     assert len({_choose(state) for _ in range(40)}) > 20
+
+
+def test_cold_engines_are_used_while_the_others_are_busy():
+    """Many engines come back at once after a failure, cold and without any work."""
+    group = ServerGroup("g", 400, 3.0, 100.0, PROFILE)
+    state = DispatchState(DispatchPolicy(), seed=1)
+    cold = {item.id for item in SERVERS[:60]}
+    servers = [
+        item._replace(cold_until_s=10.0) if item.id in cold else item
+        for item in SERVERS
+    ]
+    for server in servers[60:]:
+        for number in range(3):
+            id_ = f"{server.id}.{number}"
+            busy = Commitment(
+                id_, server.id, False, 0.0, 1.0, 5_000, 0.25, 1.5, 9.0, 9.0
+            )
+            state.ledger.add(busy, 0.0)
+            state.ledger.record_first_event(id_, 0.0)
+    engines = shortlisted_candidates(state, group, servers, 0.0, ONE_ENGINE)
+    assert cold & {item.server.id for item in engines.candidates}
--- a/tests/peers/test_tables.py
+++ b/tests/peers/test_tables.py
@@ -116,6 +116,15 @@
         poll = client.poll("127.0.0.1", "operators", StoreVersion(2, 8), 0.01)
         assert await poll is None
 
+    async def test_heartbeats_that_a_snapshot_shows_are_no_changes(self, pair, copy):
+        """All rows after each snapshot would fill the links of small entries."""
+        _, client = pair
+        rewritten = FeedRow("config", b"\x00y", StoreVersion(2, 10))
+        added = FeedRow("new", b"z", StoreVersion(2, 11))
+        copy.replace(FeedPage([rewritten, added], StoreVersion(2, 12)), 0.0)
+        page = await client.poll("127.0.0.1", "operators", StoreVersion(2, 9), 1.0)
+        assert page.rows == [added]
+
     async def test_whole_table(self, pair):
         _, client = pair
         assert (await client.fetch("127.0.0.1", "operators")).rows == PAGE.rows
--- a/tests/placement/test_shortlist.py
+++ b/tests/placement/test_shortlist.py
@@ -7,6 +7,7 @@
 from gentianhoist.placement import (
     GANG,
     ONE_ENGINE,
+    UNAVAILABLE,
     Candidate,
     Demand,
     ShortlistPolicy,
@@ -30,13 +31,13 @@
     return fleet
 
 
-def _shortlist(fleet: Fleet, policy: ShortlistPolicy, is_restricted=None):
+def _shortlist(fleet: Fleet, policy: ShortlistPolicy, extra_requests=None):
     return make_shortlist(
         fleet.servers,
         fleet.ledger,
         0.0,
         rank_idle=lambda server: server.port,
-        is_restricted=is_restricted,
+        extra_requests=extra_requests,
         policy=policy,
     )
 
@@ -87,10 +88,24 @@
     assert load.idle_engines == ENGINES
 
 
-def test_restricted_engines_are_weighed_last():
-    """Engines that are cold, limited or failing fill the list only if they must."""
+def test_engines_that_take_no_request_now_are_weighed_last():
+    """Those that have reached a limit fill the list only if they must."""
     fleet = Fleet(40)
-    bad = set(fleet.servers[:30])
-    shortlist = _shortlist(fleet, ONE_ENGINE, bad.__contains__)
+    full = set(fleet.servers[:30])
+    shortlist = _shortlist(
+        fleet, ONE_ENGINE, lambda server: UNAVAILABLE if server in full else 0.0
+    )
     assert set(fleet.servers[30:]) <= set(shortlist.servers)
     assert len(shortlist.servers) == ONE_ENGINE.size
+
+
+def test_engine_that_failed_is_weighed_before_busy_ones():
+    fleet = Fleet(40)
+    for engine in range(1, 40):
+        for _ in range(5):
+            fleet.add(engine, SHORT, in_decode=True)
+    failed = fleet.servers[0]
+    shortlist = _shortlist(
+        fleet, ONE_ENGINE, lambda server: 3.0 if server is failed else 0.0
+    )
+    assert failed in shortlist.servers
