Read the directory of servers from the store again

An entry pauses 1.2 s between two polls of that table, and so did its reader; with the age allowed for answers that made more than 3 s. Change: only the operators' table and the quarantine are relayed, whose polls have no pause. The age allowed is 1.1 s.

--- a/gentianhoist/fleet/_relayed_feed.py
+++ b/gentianhoist/fleet/_relayed_feed.py
@@ -24,8 +24,9 @@
 _MIN_RELAYED_ENTRIES = 12
 # A reader's poll of the store ends after this time, which shows that it is reached.
 _READER_POLL_S = 0.7
-# Time beyond a reader's poll and pause after which its answers are not fresh any more.
-_FRESHNESS_MARGIN_S = 0.4
+# A reader's answer is not fresh any more if the store confirmed it longer ago. An entry
+# notices within this time and one more poll that its reader is cut off.
+_MAX_AGE_S = _READER_POLL_S + 0.4
 # A reader without a fresh answer isn't asked again for this time.
 _READER_BACKOFF_S = 2.0
 
@@ -91,7 +92,6 @@
         feed: The store's feed.
         host: IP address of this entry.
         relay: Asks other entries.
-        poll_pause_s: Seconds that readers pause between two polls.
         clock: The entry's clock.
         on_source: Called with the reader that is asked from now on, None for the store.
     """
@@ -102,7 +102,6 @@
         feed: DirectFeed,
         host: str,
         relay: FeedRelay,
-        poll_pause_s: float,
         clock: Clock,
         on_source: Callable[[str | None], None] = lambda source: None,
     ) -> None:
@@ -110,7 +109,6 @@
         self._feed = feed
         self._host = host
         self._relay = relay
-        self._max_age_s = poll_pause_s + _READER_POLL_S + _FRESHNESS_MARGIN_S
         self._clock = clock
         self._on_source = on_source
         self._source: str | None = None
@@ -126,7 +124,7 @@
             relayed = await self._relay.fetch(reader, self._table)
             if (
                 relayed is not None
-                and relayed.age_s <= self._max_age_s
+                and relayed.age_s <= _MAX_AGE_S
                 and relayed.version.history == self._history
             ):
                 return self._take(relayed, reader)
@@ -143,7 +141,7 @@
         reader = self._reader()
         if reader is not None:
             relayed = await self._relay.poll(reader, self._table, since, _READER_POLL_S)
-            if relayed is not None and relayed.age_s <= self._max_age_s:
+            if relayed is not None and relayed.age_s <= _MAX_AGE_S:
                 if relayed.version < since:
                     # It confirms no more than is known, but will soon.
                     relayed = FeedPage([], since, relayed.age_s)
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -220,9 +220,7 @@
         return [
             TableFollower(
                 "operators",
-                self._relayed(
-                    "operators", adapter.operators_feed, settings.operators_feed_policy
-                ),
+                self._relayed("operators", adapter.operators_feed),
                 settings.operators_feed_policy,
                 self._replace_operator_rows,
                 self._change_operator_rows,
@@ -237,9 +235,9 @@
             ),
             TableFollower(
                 "servers",
-                self._relayed(
-                    "servers", adapter.servers_feed, settings.servers_feed_policy
-                ),
+                # Not relayed: its pauses and those of a reader together may exceed the
+                # time in which a draining server must get no more requests.
+                adapter.servers_feed,
                 settings.servers_feed_policy,
                 self._replace_servers,
                 self._change_servers,
@@ -257,9 +255,7 @@
             ),
             TableFollower(
                 "quarantine",
-                self._relayed(
-                    "quarantine", adapter.quarantine_feed, _QUARANTINE_FEED_POLICY
-                ),
+                self._relayed("quarantine", adapter.quarantine_feed),
                 _QUARANTINE_FEED_POLICY,
                 self._replace_quarantine,
                 self._quarantine.change_rows,
@@ -269,9 +265,7 @@
             ),
         ]
 
-    def _relayed(
-        self, table: str, feed: ChangeFeed, policy: FollowPolicy
-    ) -> RelayedFeed:
+    def _relayed(self, table: str, feed: ChangeFeed) -> RelayedFeed:
         def record_source(source: str | None) -> None:
             self._log.record("table_source", table=table, source=source or "store")
 
@@ -280,7 +274,6 @@
             feed,
             self._settings.host,
             self._table_exchange,
-            policy.poll_pause_s,
             self._clock,
             record_source,
         )
--- a/tests/fleet/test_relayed_feed.py
+++ b/tests/fleet/test_relayed_feed.py
@@ -9,8 +9,7 @@
 from gentianhoist.store import StoreUnavailable, StoreVersion
 from tests.virtual_time_loop import VirtualTimeLoop
 
-TABLE = "servers"
-POLL_PAUSE_S = 0.8
+TABLE = "operators"
 SINCE = StoreVersion(1, 5)
 
 
@@ -73,7 +72,7 @@
     readers = choose_readers(TABLE, hosts)
     host = next(name for name in hosts if name not in readers or entries < 12)
     relay.live_hosts = [name for name in hosts if name != host]
-    feed = RelayedFeed(TABLE, store, host, relay, POLL_PAUSE_S, loop)
+    feed = RelayedFeed(TABLE, store, host, relay, loop)
     return feed, store, relay
 
 
@@ -86,7 +85,7 @@
         for host in hosts:
             store, relay = FakeStore(), FakeRelay(1, _page())
             relay.live_hosts = [name for name in hosts if name != host]
-            feed = RelayedFeed(TABLE, store, host, relay, POLL_PAUSE_S, loop)
+            feed = RelayedFeed(TABLE, store, host, relay, loop)
             await feed.read(0.5)
             for _ in range(3):
                 await feed.changes(SINCE, 1.0, 1.5)
