Take the relayed tables out again, as they broke rules on a grown site

Change: RelayedFeed, ChangeLog, their messages and tests are removed; each entry polls the store as before.

--- a/gentianhoist/fleet/__init__.py
+++ b/gentianhoist/fleet/__init__.py
@@ -6,7 +6,6 @@
 from gentianhoist.fleet._directory import Directory, ServerListing
 from gentianhoist.fleet._entry_registry import EntryRegistry, EntryRows
 from gentianhoist.fleet._monotonic_replica import MonotonicReplica
-from gentianhoist.fleet._relayed_feed import FeedRelay, RelayedFeed
 from gentianhoist.fleet._routes import (
     Idempotency,
     Organisation,
@@ -51,9 +50,7 @@
     "MonotonicReplica",
     "HistoryLost",
     "Organisation",
-    "FeedRelay",
     "PeerEntries",
-    "RelayedFeed",
     "Idempotency",
     "RestorePolicy",
     "Route",
--- a/gentianhoist/fleet/_table_copy.py
+++ b/gentianhoist/fleet/_table_copy.py
@@ -5,7 +5,6 @@
 from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
-from gentianhoist.fleet._change_log import ChangeLog
 from gentianhoist.fleet._row_memory import (
     FeedRow,
     KeptRow,
@@ -33,12 +32,10 @@
     Attributes:
         rows: The rows, of a whole table or of its changes.
         version: Version from which later changes can be requested.
-        age_s: Seconds since this was the store's version; 0 from the store itself.
     """
 
     rows: list[FeedRow]
     version: StoreVersion
-    age_s: float = 0.0
 
 
 class TableState(NamedTuple):
@@ -70,8 +67,6 @@
         self._rows: dict[str, FeedRow] = {}
         self._version = NO_VERSION
         self._memory = None if policy is None else RowMemory(policy)
-        self._log = ChangeLog()
-        self._confirmed_s = float("-inf")
 
     def __len__(self) -> int:
         return len(self._rows)
@@ -81,26 +76,6 @@
         """Version of the store that the rows reflect; `NO_VERSION` at first."""
         return self._version
 
-    def page(self, now_s: float) -> FeedPage:
-        """Return all rows as the store has them."""
-        rows = list(self._rows.values())
-        return FeedPage(rows, self._version, self.age_s(now_s))
-
-    def age_s(self, now_s: float) -> float:
-        """Return the seconds since this was the store's version."""
-        return now_s - self._confirmed_s
-
-    def confirm(self, age_s: float, now_s: float) -> None:
-        """Record that this was the store's version some seconds ago."""
-        self._confirmed_s = max(self._confirmed_s, now_s - age_s)
-
-    def changes_since(self, version: StoreVersion, now_s: float) -> FeedPage | None:
-        """Return the changes after a version, None if they aren't all known."""
-        rows = self._log.since(version)
-        if rows is None:
-            return None
-        return FeedPage(rows, self._version, self.age_s(now_s))
-
     @property
     def kept(self) -> list[KeptRow]:
         """What goes before the rows of the restored store."""
@@ -124,10 +99,6 @@
         if page.version < self._version:
             return
         rows = {row.key: row for row in page.rows if row.value is not None}
-        if page.version.history > self._version.history or not self._log.is_started:
-            self._log.restart(page.version)
-        else:
-            self._log.append_membership(self._rows, rows, page.version)
         if self._memory is not None:
             if page.version.history > self._version.history:
                 known = self._memory.overlay(self._rows)
@@ -145,8 +116,6 @@
         Returns:
             Those that count: all but what is known to be outdated.
         """
-        rows = list(rows)
-        self._log.append(rows, version)
         applied = [row for row in rows if self._apply_change(row)]
         self._version = max(self._version, version)
         return applied
@@ -200,10 +169,6 @@
     what other entries have seen.
     """
 
-    def notify_changed(self, table: str) -> None:
-        """Answer the entries that wait for changes of this entry's copy."""
-        ...
-
     async def fetch_newer(self, table: str, than: StoreVersion) -> TableState | None:
         """Request a newer snapshot of a table from one peer.
 
@@ -234,9 +199,6 @@
 class NoPeerEntries:
     """Null implementation for an entry without peers."""
 
-    def notify_changed(self, table: str) -> None:
-        """Do nothing."""
-
     async def fetch_newer(self, table: str, than: StoreVersion) -> TableState | None:
         """Return None."""
         return None
--- a/gentianhoist/fleet/_table_follower.py
+++ b/gentianhoist/fleet/_table_follower.py
@@ -207,8 +207,6 @@
             self._record_store_regained(page.version)
             self._apply_changes(self._copy.apply_changes(page.rows, page.version))
         self._poll_since_version = page.version
-        self._copy.confirm(page.age_s, self._clock.monotonic_s())
-        self._peers.notify_changed(self._name)
 
     def _take_snapshot(self, page: FeedPage) -> None:
         before = self._copy.version
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -22,11 +22,9 @@
 )
 from gentianhoist.exceptions import HoistError
 from gentianhoist.fleet import (
-    ChangeFeed,
     EntryRegistry,
     FeedRow,
     FollowPolicy,
-    RelayedFeed,
     RestorePolicy,
     TableFollower,
 )
@@ -220,7 +218,7 @@
         return [
             TableFollower(
                 "operators",
-                self._relayed("operators", adapter.operators_feed),
+                adapter.operators_feed,
                 settings.operators_feed_policy,
                 self._replace_operator_rows,
                 self._change_operator_rows,
@@ -235,8 +233,6 @@
             ),
             TableFollower(
                 "servers",
-                # Not relayed: its pauses and those of a reader together may exceed the
-                # time in which a draining server must get no more requests.
                 adapter.servers_feed,
                 settings.servers_feed_policy,
                 self._replace_servers,
@@ -255,7 +251,7 @@
             ),
             TableFollower(
                 "quarantine",
-                self._relayed("quarantine", adapter.quarantine_feed),
+                adapter.quarantine_feed,
                 _QUARANTINE_FEED_POLICY,
                 self._replace_quarantine,
                 self._quarantine.change_rows,
@@ -265,19 +261,6 @@
             ),
         ]
 
-    def _relayed(self, table: str, feed: ChangeFeed) -> RelayedFeed:
-        def record_source(source: str | None) -> None:
-            self._log.record("table_source", table=table, source=source or "store")
-
-        return RelayedFeed(
-            table,
-            feed,
-            self._settings.host,
-            self._table_exchange,
-            self._clock,
-            record_source,
-        )
-
     async def _serve(self, request: CallerRequest, responder: Responder) -> None:
         try:
             call = self._adapter.decode_call(request)
--- a/gentianhoist/peers/_tables.py
+++ b/gentianhoist/peers/_tables.py
@@ -6,7 +6,6 @@
 import logging
 import random
 from collections.abc import Callable, Sequence
-from typing import TypeVar
 
 import msgspec
 
@@ -27,7 +26,6 @@
 __all__ = ["PeerTableExchange"]
 
 _log = logging.getLogger(__name__)
-_Decoded = TypeVar("_Decoded")
 
 _OK = 200
 _NO_CONTENT = 204
@@ -44,13 +42,6 @@
 # against the store.
 _NEWER_PATH = b"/tables/"
 _KNOWN_PATH = b"/known/"
-# For the store's rows: all of them, or the changes since a version once there are any.
-_ROWS_PATH = b"/rows/"
-_CHANGES_PATH = b"/changes/"
-_GONE = 410
-# Longest time that a request for changes is held.
-_MAX_HOLD_S = 2.0
-_MS_PER_S = 1000.0
 # Entries that are asked at once what they know.
 _MAX_ASKED = 8
 # Connection pools are kept for at most this many entries.
@@ -83,8 +74,6 @@
         self._server = HttpServer(self._serve)
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(TableState)
-        self._page_decoder = msgspec.msgpack.Decoder(FeedPage)
-        self._changed: dict[str, asyncio.Event] = {}
 
     async def start(self) -> None:
         """Start to listen for requests of other entries."""
@@ -104,43 +93,6 @@
             copy: Copy of the table; later changes to it are served too.
         """
         self._copies[table] = copy
-        self._changed[table] = asyncio.Event()
-
-    def notify_changed(self, table: str) -> None:
-        """Answer the entries that wait for changes of this entry's copy."""
-        self._changed[table].set()
-        self._changed[table] = asyncio.Event()
-
-    @property
-    def live_hosts(self) -> Sequence[str]:
-        """IP addresses of the other entries that were heard from recently."""
-        return self._list_live_hosts()
-
-    async def poll(
-        self, host: str, table: str, since: StoreVersion, wait_s: float
-    ) -> FeedPage | None:
-        """Long-poll an entry for changes of a table.
-
-        Args:
-            host: IP address of the entry.
-            table: Name of the table.
-            since: Version after which changes are requested.
-            wait_s: Seconds that the entry may hold the request.
-
-        Returns:
-            The changes, or `None` if the entry wasn't reached in time, doesn't have
-            them or sent an invalid response.
-        """
-        query = b"than=%d.%d&wait_ms=%d" % (*since, round(wait_s * _MS_PER_S))
-        target = b"%b%b?%b" % (_CHANGES_PATH, table.encode(), query)
-        body = await self._request(host, target, wait_s + _RESPONSE_TIMEOUT_S)
-        return None if body is None else self._decode(self._page_decoder, body, host)
-
-    async def fetch(self, host: str, table: str) -> FeedPage | None:
-        """Request all rows of a table, as the store has them; returns as `poll`."""
-        target = b"%b%b?than=0.0" % (_ROWS_PATH, table.encode())
-        body = await self._request(host, target, _RESPONSE_TIMEOUT_S)
-        return None if body is None else self._decode(self._page_decoder, body, host)
 
     async def fetch_newer(self, table: str, than: StoreVersion) -> TableState | None:
         """Fetch a newer copy of a table from one live entry, chosen at random.
@@ -179,17 +131,10 @@
         self, host: str, path: bytes, table: str, version: StoreVersion
     ) -> TableState | None:
         target = b"%b%b?than=%d.%d" % (path, table.encode(), *version)
-        body = await self._request(host, target, _RESPONSE_TIMEOUT_S)
-        return None if body is None else self._decode(self._decoder, body, host)
-
-    async def _request(
-        self, host: str, target: bytes, response_timeout_s: float
-    ) -> bytes | None:
-        """Request something of an entry; returns None if it has no answer."""
         request = encode_request(b"GET", target, [(b"Host", host.encode())], b"")
         try:
             response = await exchange(
-                self._pool(host), request, response_timeout_s, _READ_TIMEOUT_S
+                self._pool(host), request, _RESPONSE_TIMEOUT_S, _READ_TIMEOUT_S
             )
         except (ConnectionFailed, TimeoutError) as error:
             _log.info(
@@ -197,13 +142,10 @@
                 extra={"host": host, "cause": repr(error)},
             )
             return None
-        return response.body if response.status == _OK else None
-
-    def _decode(
-        self, decoder: msgspec.msgpack.Decoder[_Decoded], body: bytes, host: str
-    ) -> _Decoded | None:
+        if response.status != _OK:
+            return None
         try:
-            return decoder.decode(body)
+            return self._decoder.decode(response.body)
         except msgspec.MsgspecError as error:
             _log.warning(
                 "table response of entry could not be decoded",
@@ -223,20 +165,10 @@
         path, _, query = request.target.partition(b"?")
         prefix, _, table = path.rpartition(b"/")
         copy = self._copies.get(table.decode("latin-1"))
-        version, _, wait = query.removeprefix(b"than=").partition(b"&wait_ms=")
-        than = _parse_version(version)
+        than = _parse_version(query.removeprefix(b"than="))
         if copy is None or than is None:
             responder.send_response(_NOT_FOUND, [], b"")
             return
-        if prefix + b"/" in (_ROWS_PATH, _CHANGES_PATH):
-            wait_s = int(wait) / _MS_PER_S if wait.isdigit() else 0.0
-            is_whole = prefix + b"/" == _ROWS_PATH
-            page = await self._page(table.decode("latin-1"), than, wait_s, is_whole)
-            if page is None:
-                responder.send_response(_GONE, [], b"")
-            else:
-                responder.send_response(_OK, [], self._encoder.encode(page))
-            return
         if prefix + b"/" == _KNOWN_PATH:
             state = self._known(copy, than)
         elif copy.version > than:
@@ -246,21 +178,6 @@
             return
         responder.send_response(_OK, [], self._encoder.encode(state))
 
-    async def _page(
-        self, table: str, since: StoreVersion, wait_s: float, is_whole: bool
-    ) -> FeedPage | None:
-        """Return the store's rows, or their changes once there are any."""
-        copy = self._copies[table]
-        if is_whole:
-            return copy.page(self._clock.monotonic_s())
-        try:
-            async with asyncio.timeout(min(wait_s, _MAX_HOLD_S)):
-                while copy.version <= since:
-                    await self._changed[table].wait()
-        except TimeoutError:
-            pass
-        return copy.changes_since(since, self._clock.monotonic_s())
-
     def _known(self, copy: TableCopy, version: StoreVersion) -> TableState:
         """Return what an entry that has a version may lack of a restored store."""
         state = copy.state(self._clock.monotonic_s())
--- a/tests/fleet/test_table_copy.py
+++ b/tests/fleet/test_table_copy.py
@@ -50,9 +50,6 @@
     def __init__(self, *versions: int) -> None:
         self.versions = list(versions)
 
-    def notify_changed(self, table):
-        return None
-
     async def fetch_newer(self, table: str, than: StoreVersion) -> TableState | None:
         await asyncio.sleep(0.003)
         version = self.versions.pop(0) if self.versions else 0
