Weigh 64 engines for short prompts too

The choice itself has chance in it, the list has none among engines with work. Change: one size of list, 64, of which the choice picks.

--- a/gentianhoist/placement/_shortlist.py
+++ b/gentianhoist/placement/_shortlist.py
@@ -56,7 +56,7 @@
 
 
 # For a prompt that one engine prefills, well within its latency goals.
-ONE_ENGINE = ShortlistPolicy(16, 0.1)
+ONE_ENGINE = ShortlistPolicy(64, 0.1)
 # For a prompt that up to 17 engines share, and that can wait for others.
 GANG = ShortlistPolicy(64, float("inf"))
 
--- a/tests/placement/test_shortlist.py
+++ b/tests/placement/test_shortlist.py
@@ -73,7 +73,7 @@
 
 
 def test_number_of_weighed_engines_does_not_grow_with_the_fleet():
-    for engines in (50, 500):
+    for engines in (100, 500):
         fleet = Fleet(engines)
         assert len(_shortlist(fleet, ONE_ENGINE).servers) == ONE_ENGINE.size
 
@@ -90,18 +90,18 @@
 
 def test_engines_that_take_no_request_now_are_weighed_last():
     """Those that have reached a limit fill the list only if they must."""
-    fleet = Fleet(40)
-    full = set(fleet.servers[:30])
+    fleet = Fleet(100)
+    full = set(fleet.servers[:40])
     shortlist = _shortlist(
         fleet, ONE_ENGINE, lambda server: UNAVAILABLE if server in full else 0.0
     )
-    assert set(fleet.servers[30:]) <= set(shortlist.servers)
+    assert set(fleet.servers[40:]) <= set(shortlist.servers)
     assert len(shortlist.servers) == ONE_ENGINE.size
 
 
 def test_engine_that_failed_is_weighed_before_busy_ones():
-    fleet = Fleet(40)
-    for engine in range(1, 40):
+    fleet = Fleet(100)
+    for engine in range(1, 100):
         for _ in range(5):
             fleet.add(engine, SHORT, in_decode=True)
     failed = fleet.servers[0]
