Review case 2: blank lines without end from one server stop an entry

One model server answers a stream with blank lines without end. The entry that reads them does nothing else for 10 to 50 s; other requests have no answer half a second after their timeout.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,134 @@
+"""A faulty model server sends blank lines without end as the body of a stream."""
+
+import asyncio
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from standins.client import Answer, call, is_ready
+from standins.deployment import BROKEN, HELD, Deployment, has_trouble, main
+from standins.server import Run, Server
+
+_ENGINES = 4
+_DESKS = 3
+_LASTS_S = 45.0
+_TIMEOUT_S = 3.0
+# CONFIG counts answers until half a second after the timeout.
+_SLACK_S = 0.5
+_MIN_UNANSWERED = 8
+_LINES = b"\n" * 65_536
+
+
+class FaultyEngine(Server):
+    """Answers with bytes that are no answer, until the caller closes."""
+
+    async def run(
+        self, run: Run, headers: list[tuple[str, str]], writer: asyncio.StreamWriter
+    ) -> None:
+        """Answer with blank lines without end."""
+        if not has_trouble():
+            await super().run(run, headers, writer)
+            return
+        lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers)]
+        lines += ["Content-Type: text/event-stream", "Connection: close"]
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        sent = 0
+        self._record.write(f"{self.id} begins to send blank lines to {run.id}")
+        try:
+            while True:
+                writer.write(_LINES)
+                await writer.drain()
+                sent += len(_LINES)
+        finally:
+            self._record.write(f"{self.id}: the caller has closed after {sent} bytes")
+
+
+async def run(folder: Path) -> int:
+    """Send requests on all routes; those that take too long must end in time."""
+    async with Deployment(folder, entries=2) as deployment:
+        record = deployment.record
+        for number in range(_ENGINES):
+            engine = deployment.engine(number)
+            if number == 0:
+                engine = FaultyEngine(
+                    engine.id,
+                    "flight-assist",
+                    "lautoka-a",
+                    deployment.store,
+                    record,
+                    streaming=True,
+                )
+            await deployment.add_server(engine)
+        for number in range(_DESKS):
+            await deployment.add_server(deployment.desk(number))
+        await deployment.start_entries()
+        entries = deployment.entries
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + _LASTS_S
+        unready_s: list[float] = []
+
+        async def ask_ready() -> None:
+            while loop.time() < end_s:
+                asked_s = loop.time()
+                for entry in entries:
+                    if not await is_ready(entry.readiness, timeout_s=0.4):
+                        unready_s.append(asked_s)
+                        record.write(f"{entry.host} doesn't say that it is ready")
+                await asyncio.sleep(max(0.0, asked_s + 1.0 - loop.time()))
+
+        async def lookup(number: int) -> Answer:
+            return await call(
+                entries[number % 2].address,
+                record,
+                "/proof/1",
+                method="GET",
+                deadline_ms=6000,
+                patience_s=_LASTS_S + 10.0,
+            )
+
+        async def brief(number: int) -> Answer:
+            return await call(
+                entries[number % 2].address,
+                record,
+                "/brief/1",
+                body=b"{}",
+                deadline_ms=10_000,
+                headers=[
+                    ("Model", "m"),
+                    ("Token-Count", "5000,1360"),
+                    ("Prefix-Hash", f"5c1e07a2:40,{number:08x}:4960"),
+                ],
+            )
+
+        asking = asyncio.create_task(ask_ready())
+        briefs, lookups = [], []
+        number = 0
+        while loop.time() < end_s - _TIMEOUT_S - 1.0:
+            lookups.append(asyncio.create_task(lookup(number)))
+            if number % 5 == 0:
+                briefs.append(asyncio.create_task(brief(number)))
+            number += 1
+            await asyncio.sleep(0.2)
+        answers = await asyncio.gather(*lookups)
+        await asyncio.gather(*briefs, asking)
+        took_s = [answer.ended_s - answer.sent_s for answer in answers]
+        unanswered = [item for item in took_s if item > _TIMEOUT_S]
+        late = [item for item in took_s if item > _TIMEOUT_S + _SLACK_S]
+        record.write(
+            f"{len(answers)} lookups, {len(unanswered)} unanswered at the timeout of"
+            f" {_TIMEOUT_S} s, {len(late)} still without an answer {_SLACK_S} s later;"
+            f" the longest took {max(took_s):.1f} s; {len(unready_s)} questions whether"
+            " the entry is ready had no 200"
+        )
+        if sum(answer.status == 200 for answer in answers) < _MIN_UNANSWERED:
+            raise RuntimeError("too few requests were served")
+        is_broken = (
+            len(late) >= _MIN_UNANSWERED
+            and 2 * len(late) > len(unanswered)
+            and 4 * len(late) > len(unanswered)
+        )
+        return BROKEN if is_broken else HELD
+
+
+main(Path(__file__).resolve().parent, run)
