--- /dev/null
+++ b/review/4/case.py
@@ -0,0 +1,103 @@
+"""Requests that wait for a place when the grace period of their entry ends."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
+
+from standins.client import Answer, call
+from standins.deployment import BROKEN, HELD, Deployment, has_trouble, main
+from standins.server import Run, Server
+
+_ENGINES = 3
+_AUDITS = 14
+_PROMPT_TOKENS = 133_000
+# Time to read such a prompt on an idle model server of the site.
+_READ_S = 1.87
+_STOP_AFTER_S = 0.3
+_GRACE_S = 8.0
+_LOSS_SLACK_S = 0.2
+
+
+class Engine(Server):
+    """A sound model server that reads one prompt after the other."""
+
+    def __init__(self, deployment: Deployment, number: int) -> None:
+        super().__init__(
+            f"i-e{number:07x}",
+            "flight-assist",
+            "lautoka-a",
+            deployment.store,
+            deployment.record,
+            streaming=True,
+            events=16,
+            event_interval_s=0.06,
+        )
+        self._reading = asyncio.Lock()
+
+    async def run(
+        self, run: Run, headers: list[tuple[str, str]], writer: asyncio.StreamWriter
+    ) -> None:
+        """Read the prompt, then write the answer."""
+        async with self._reading:
+            await asyncio.sleep(_READ_S)
+        await super().run(run, headers, writer)
+
+
+async def run(folder: Path) -> int:
+    """Stop an entry with SIGTERM; what waits at it must be answered or refused."""
+    async with Deployment(folder) as deployment:
+        record = deployment.record
+        for number in range(_ENGINES):
+            await deployment.add_server(Engine(deployment, number))
+        await deployment.start_entries()
+        entry = deployment.entries[0]
+
+        async def audit(number: int) -> Answer:
+            return await call(
+                entry.address,
+                record,
+                "/audit/1",
+                body=b"{}",
+                deadline_ms=15_000,
+                headers=[
+                    ("Model", "m"),
+                    ("Token-Count", f"{_PROMPT_TOKENS},700"),
+                    ("Prefix-Hash", f"5c1e07a2:40,{number + 1:08x}:132960"),
+                ],
+            )
+
+        audits = [asyncio.create_task(audit(number)) for number in range(_AUDITS)]
+        await asyncio.sleep(_STOP_AFTER_S)
+        stopped_s = asyncio.get_running_loop().time()
+        if has_trouble():
+            entry.send_signal(signal.SIGTERM)
+            record.write("SIGTERM to the entry")
+        answers = await asyncio.gather(*audits)
+        ran = {
+            item.id for server in deployment.servers.values() for item in server.runs
+        }
+        # The rule excuses what a server is still at work on when the grace period ends.
+        lost = [
+            item
+            for item in answers
+            if item.id not in ran
+            and (item.message is None or not item.message.whole)
+            and item.fault != "no answer in time"
+            and item.ended_s - item.sent_s > _LOSS_SLACK_S
+            and item.ended_s < stopped_s + _GRACE_S + 1.0
+        ]
+        served = sum(item.status == 200 and not item.fault for item in answers)
+        refused = sum(item.status in {429, 503} for item in answers)
+        record.write(
+            f"{len(answers)} audits: {served} served, {refused} refused, {len(lost)}"
+            " never sent to a server and ended without an answer"
+        )
+        if not served:
+            raise RuntimeError("no audit was served")
+        return BROKEN if has_trouble() and lost else HELD
+
+
+main(Path(__file__).resolve().parent, run)
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import traceback
@@ -141,11 +142,13 @@
             "priority": 1,
             "max_attempts": 2,
         }
+        audit = stream | {"timeout_ms": 15_000, "goal_ms": 2500, "gap_goal_ms": 1000}
         desk = {"service": "press-desk", "goal_ms": 100, "priority": 2}
         queue = {"route_kind": "non_idempotent", "max_attempts": 1, "timeout_ms": 3000}
         lookup = {"route_kind": "idempotent", "max_attempts": 2, "timeout_ms": 3000}
         routes = [
             common | stream | {"name": "artwork-brief", "prefix": "/brief/"},
+            common | audit | {"name": "season-audit", "prefix": "/audit/"},
             common | desk | queue | {"name": "press-queue", "prefix": "/press/"},
             common | desk | lookup | {"name": "proof-lookup", "prefix": "/proof/"},
         ]
@@ -186,12 +189,16 @@
     """Run a case and exit with its result: 0 held, 1 broken, 2 could not run."""
 
     async def limited() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        # The entries must end with the case, also if it is stopped.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         async with asyncio.timeout(_TIME_LIMIT_S):
             return await run(folder)
 
     try:
         code = asyncio.run(limited())
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         code = _NOT_RUN
     print({HELD: "held", BROKEN: "BROKEN", _NOT_RUN: "could not run"}[code])
--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -13,8 +13,6 @@
 
 __all__ = ["Run", "Server"]
 
-_EVENTS = 12
-_EVENT_INTERVAL_S = 0.02
 _HEARTBEAT_S = 1.2
 
 
@@ -43,6 +41,8 @@
         record: Receives what it ran.
         streaming: Whether it answers with a stream of events.
         work_s: Seconds that it works on a request without a stream.
+        events: Number of events of a stream.
+        event_interval_s: Seconds before each event of a stream.
     """
 
     def __init__(
@@ -55,6 +55,8 @@
         *,
         streaming: bool,
         work_s: float = 0.02,
+        events: int = 12,
+        event_interval_s: float = 0.02,
     ) -> None:
         self.id = id_
         self.port = 0
@@ -66,6 +68,8 @@
         self._record = record
         self._streaming = streaming
         self._work_s = work_s
+        self._events = events
+        self._event_interval_s = event_interval_s
         self._born = int(time.time() * 1000)
         self._sequence = 0
         self._server: asyncio.Server | None = None
@@ -169,8 +173,8 @@
         lines = ["HTTP/1.1 200 OK", *(f"{name}: {value}" for name, value in headers)]
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-        for number in range(first, _EVENTS + 1):
-            await asyncio.sleep(_EVENT_INTERVAL_S)
+        for number in range(first, self._events + 1):
+            await asyncio.sleep(self._event_interval_s)
             event = b"id: %d\ndata: %b %d\n\n" % (number, run.id.encode(), number)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
