--- a/review/standins/server.py
+++ b/review/standins/server.py
@@ -174,8 +174,12 @@
         lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
         for number in range(first, self._events + 1):
-            await asyncio.sleep(self._event_interval_s)
+            await self.before_event(run, number)
             event = b"id: %d\ndata: %b %d\n\n" % (number, run.id.encode(), number)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
         writer.write(b"0\r\n\r\n")
+
+    async def before_event(self, run: Run, number: int) -> None:
+        """Wait until an event of a stream is made."""
+        await asyncio.sleep(self._event_interval_s)
