Answer or refuse all requests of a stopping entry before it ends

Cause: Gateway.drain waited for the requests until 0.6 s before the end of the grace period, then close reset what was left. No request knew of that time. In the entry's log of the case the three that were never sent are "waiting" without "placed", then "caller_gone", as if the callers had left; those lines now say that the entry stops.

Change: Shutdown has one time by which all requests have been answered (0.4 s before the end, chosen), and the timeout around each request's work is brought forward to it, so every wait ends there: 503 "not run" if nothing was sent, 504 if a server may have run it. A prompt whose expected duration x 1.5 (chosen) doesn't fit is refused as soon as that is known. Requests behind another one of their connection are answered before it closes, and the process waits until responses have left it and KV cache is released.

test_requests_in_progress_are_finished had a grace period of 1.5 s in which its second request, with a retry, ended after the time of the reset; it passed as the test never closed the entry. It has 3 s now, and asks for the same.

--- a/gentianhoist/dispatch/_buffered_relay.py
+++ b/gentianhoist/dispatch/_buffered_relay.py
@@ -143,7 +143,7 @@
         if not limited:
             return None
         now_s = self._context.clock.monotonic_s()
-        max_wait_s = _MAX_WAIT_RATIO * self._request.remaining_s(self._loop.time())
+        max_wait_s = self._max_turn_wait_s()
         turns = self._state.turns(self.group.name)
         wait_s = expected_wait_s(self._state.rate_limits, limited, turns.waiting, now_s)
         if wait_s > max_wait_s:
@@ -162,6 +162,14 @@
         except TimeoutError:
             raise self._rate_limit_error(wait_s) from None
 
+    def _max_turn_wait_s(self) -> float:
+        loop_now_s = self._loop.time()
+        stop_slack_s = (
+            self._context.shutdown.remaining_s(loop_now_s) - self._request.route.goal_s
+        )
+        wait_s = _MAX_WAIT_RATIO * self._request.remaining_s(loop_now_s)
+        return min(wait_s, stop_slack_s)
+
     def _limited_servers(self) -> list[BackendServer]:
         limits = self._state.rate_limits
         return [
--- a/gentianhoist/dispatch/_context.py
+++ b/gentianhoist/dispatch/_context.py
@@ -10,6 +10,7 @@
 from gentianhoist.dispatch._interfaces import Call, KvReservationClient, ServerCodec
 from gentianhoist.dispatch._queue_scheduler import QueueScanScheduler
 from gentianhoist.dispatch._request import Request
+from gentianhoist.dispatch._shutdown import Shutdown
 from gentianhoist.dispatch._state import DispatchState
 from gentianhoist.exceptions import ErrorKind, HoistError
 from gentianhoist.fleet import BackendServer, RoutingConfiguration
@@ -62,8 +63,24 @@
         self.retry_quotas = QuotaExchange(
             state.retry_quota, peers, clock, log, state.rng
         )
+        self.shutdown = Shutdown()
         self._background_tasks: set[asyncio.Task[None]] = set()
 
+    @property
+    def has_background_tasks(self) -> bool:
+        """Whether any coroutine of `run_in_background` hasn't ended."""
+        return bool(self._background_tasks)
+
+    def begin_shutdown(self, remaining_s: float) -> None:
+        """Answer all requests within a time, and refuse those that would last longer.
+
+        Args:
+            remaining_s: Seconds until all must have been answered.
+        """
+        self.shutdown.begin(asyncio.get_running_loop().time() + remaining_s)
+        self.state.queue.end_by(self.clock.monotonic_s() + remaining_s)
+        self.queue_scheduler.request_scan()
+
     def observe_notice(
         self, server: BackendServer, notice: ServerNotice, request_id: str = ""
     ) -> None:
--- a/gentianhoist/dispatch/_prompt_placer.py
+++ b/gentianhoist/dispatch/_prompt_placer.py
@@ -19,12 +19,14 @@
 from gentianhoist.placement import (
     GANG,
     ONE_ENGINE,
+    STOP_REFUSAL,
     Candidate,
     Commitment,
     Demand,
     Placement,
     PlacementRefused,
     QueuedRequest,
+    RefusalCause,
     UnplacedReason,
     place,
     should_wait,
@@ -55,6 +57,14 @@
 _LARGE_KV_RATIO = 0.3
 # Longest time that a prompt waits for the rate limits of the engines.
 _MAX_RATE_LIMITED_WAIT_S = 1.0
+# Factor on the expected duration of a response that has to end before the entry does:
+# engines turn slower as they get more requests.
+_STOP_DURATION_RATIO = 1.5
+_ERROR_KINDS = {
+    RefusalCause.CAPACITY: ErrorKind.OVERLOADED,
+    RefusalCause.RATE_LIMITED: ErrorKind.BACKEND_RATE_LIMITED,
+    RefusalCause.STOPPING: ErrorKind.LEAVING,
+}
 _commitment_numbers = itertools.count()
 
 
@@ -195,7 +205,11 @@
         item.latest_start_s = min(item.latest_start_s, now_s + _MAX_RATE_LIMITED_WAIT_S)
         if now_s + wait_s > item.latest_start_s:
             raise self._refusal_error(
-                PlacementRefused(UnplacedReason.RATE_LIMITED.value, wait_s, True)
+                PlacementRefused(
+                    UnplacedReason.RATE_LIMITED.value,
+                    wait_s,
+                    RefusalCause.RATE_LIMITED,
+                )
             )
 
     def _queue_item(self, id_: str) -> QueuedRequest:
@@ -220,6 +234,7 @@
             if has_long_prefill
             else _SHORT_PREFILL_RETRY_INTERVAL_S,
             on_time_until_s=now_s + demand.ttft_budget_s - self._min_prefill_s(demand),
+            service_s=self._duration_s(demand, self._min_prefill_s(demand)),
         )
         return item
 
@@ -232,6 +247,12 @@
         decode_slack_s = self._request.remaining_s(now_s) - self._decode_s(demand)
         return min(disconnect_slack_s, decode_slack_s) - self._min_prefill_s(demand)
 
+    def _slack_until_stop_s(self, demand: Demand) -> float:
+        """Seconds it can wait, and still end before the entry does if that stops."""
+        remaining_s = self._context.shutdown.remaining_s(self._loop.time())
+        duration_s = self._duration_s(demand, self._min_prefill_s(demand))
+        return min(self._slack_s(demand), remaining_s - duration_s)
+
     def _min_prefill_s(self, demand: Demand) -> float:
         """Seconds of prefill if several engines share it."""
         prefill_s = self._profile().prefill_s(demand.prompt_tokens)
@@ -268,9 +289,12 @@
         is_rate_limited = item is not None and item.rate_limited_since_s is not None
         # A token that a prompt leaves goes to the next one, so it can't wait by choice.
         if not is_rate_limited and should_wait(
-            rule, demand, placement, self._slack_s(demand)
+            rule, demand, placement, self._slack_until_stop_s(demand)
         ):
             return UnplacedReason.WORTH_WAITING
+        remaining_s = self._context.shutdown.remaining_s(self._loop.time())
+        if self._duration_s(demand, placement.expected_ttft_s) > remaining_s:
+            return STOP_REFUSAL
         for commitment in self._commitments(id_, demand, placement, now_s):
             self._state.ledger.add(commitment, now_s)
             self._context.peers.publish_added(commitment, now_s)
@@ -366,6 +390,15 @@
             _MIN_DECODE_STEP_S, self._profile().decode_step_s
         )
 
+    def _duration_s(self, demand: Demand, ttft_s: float) -> float:
+        """Seconds until the end of the response that are counted on before a stop.
+
+        A request that may have run can't be refused, so it waits until the stop.
+        """
+        if self._request.may_have_run:
+            return 0.0
+        return _STOP_DURATION_RATIO * (ttft_s + self._decode_s(demand))
+
     def _profile(self) -> EngineProfile:
         profile = self._constraints.group.engine
         if profile is None:
@@ -384,11 +417,8 @@
         if self._request.may_have_run:
             return HoistError(ErrorKind.BACKEND_FAILED, refused.reason)
         jitter = 0.5 + self._state.rng.random()
-        kind = ErrorKind.OVERLOADED
-        if refused.is_rate_limited:
-            kind = ErrorKind.BACKEND_RATE_LIMITED
         return HoistError(
-            kind,
+            _ERROR_KINDS[refused.cause],
             refused.reason,
             retry_after_s=refused.retry_after_s * jitter,
         )
--- /dev/null
+++ b/gentianhoist/dispatch/_shutdown.py
@@ -0,0 +1,96 @@
+"""The stop of an entry, which ends the wait of all its requests."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
+
+from gentianhoist.exceptions import ErrorKind, HoistError
+
+__all__ = ["Shutdown"]
+
+# Other entries take the request at once.
+_RETRY_AFTER_S = 0.2
+_NEVER_S = float("inf")
+
+
+class Shutdown:
+    """When the entry has to have answered all requests that it has read.
+
+    A request may wait in many places: for the tables, the quarantine, an engine, a KV
+    cache reservation, a rate limit, a connection, a retry or a response. One limit on
+    all of its work ends the wait in each of them.
+    """
+
+    def __init__(self) -> None:
+        self._end_s = _NEVER_S
+        self._timeouts: set[asyncio.Timeout] = set()
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the entry has been told to stop."""
+        return self._end_s < _NEVER_S
+
+    def begin(self, end_s: float) -> None:
+        """Bring the ends of all requests forward.
+
+        Args:
+            end_s: When all must have been answered, on the event loop's clock.
+        """
+        self._end_s = end_s
+        for timeout in self._timeouts:
+            when_s = timeout.when()
+            if not timeout.expired() and (when_s is None or when_s > end_s):
+                timeout.reschedule(end_s)
+
+    def remaining_s(self, now_s: float) -> float:
+        """Seconds until all requests must have been answered; infinite before a stop.
+
+        Args:
+            now_s: Current time on the event loop's clock.
+        """
+        return self._end_s - now_s
+
+    @asynccontextmanager
+    async def timeout_at(self, when_s: float) -> AsyncGenerator[None, None]:
+        """Limit the time of an `async with` block, which a stop may shorten.
+
+        Args:
+            when_s: End of the block without a stop, on the event loop's clock.
+
+        Raises:
+            TimeoutError: If the block takes longer.
+        """
+        async with asyncio.timeout_at(min(when_s, self._end_s)) as timeout:
+            self._timeouts.add(timeout)
+            try:
+                yield
+            finally:
+                self._timeouts.discard(timeout)
+
+    def raise_if_over(self, now_s: float) -> None:
+        """Refuse a request that can't be served any more.
+
+        Args:
+            now_s: Current time on the event loop's clock.
+
+        Raises:
+            HoistError: If all requests had to be answered by now.
+        """
+        if self.remaining_s(now_s) <= 0.0:
+            raise self.error(may_have_run=False)
+
+    def error(self, *, may_have_run: bool) -> HoistError:
+        """The error for the caller of a request that the stop ends.
+
+        Args:
+            may_have_run: Whether a server may have started to execute the request.
+        """
+        if may_have_run:
+            return HoistError(
+                ErrorKind.OUTCOME_UNKNOWN, "the entry stops before the server responded"
+            )
+        return HoistError(
+            ErrorKind.LEAVING, "the entry stops", retry_after_s=_RETRY_AFTER_S
+        )
--- a/gentianhoist/dispatch/core.py
+++ b/gentianhoist/dispatch/core.py
@@ -46,20 +46,24 @@
             self._context.metrics.record_response(outcome, elapsed_s)
             if outcome == "caller_gone":
                 self._context.log.record(
-                    "caller_gone", call.id, after_s=round(elapsed_s, 3)
+                    "caller_gone",
+                    call.id,
+                    after_s=round(elapsed_s, 3),
+                    stopping=self._context.shutdown.has_begun,
                 )
 
     async def _serve(self, call: Call, responder: Responder) -> str:
         request = self._admit(call)
         try:
-            async with asyncio.timeout_at(request.deadline_s):
+            async with self._context.shutdown.timeout_at(request.deadline_s):
                 if request.route.streaming:
                     return await StreamRelay(self._context, request, responder).run()
                 return await BufferedRelay(self._context, request, responder).run()
         except TimeoutError:
-            raise self._deadline_error(request) from None
+            raise self._timeout_error(request) from None
 
     def _admit(self, call: Call) -> Request:
+        self._context.shutdown.raise_if_over(asyncio.get_running_loop().time())
         configuration = self._context.state.routing.current
         if configuration is None:
             raise HoistError(
@@ -88,7 +92,9 @@
             send_error_response(responder, call.id, error)
         return error.kind.value
 
-    def _deadline_error(self, request: Request) -> HoistError:
+    def _timeout_error(self, request: Request) -> HoistError:
+        if request.remaining_s(asyncio.get_running_loop().time()) > 0.0:
+            return self._context.shutdown.error(may_have_run=request.may_have_run)
         if request.may_have_run:
             return HoistError(
                 ErrorKind.DEADLINE_EXCEEDED, "no response before the deadline"
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -45,8 +45,10 @@
 _STARTUP_HOLD_S = 0.4
 # Fraction of a request's time to its deadline that it may wait for the tables.
 _HOLD_DEADLINE_RATIO = 0.25
-# Part of the grace period that is reserved for closing after the drain.
-_CLOSE_MARGIN_S = 0.6
+# Seconds before the end of the grace period by which each request must have been
+# answered, and by which the responses must have been delivered.
+_ANSWER_MARGIN_S = 0.4
+_CLOSE_MARGIN_S = 0.2
 _DRAIN_POLL_INTERVAL_S = 0.05
 # Live servers write their rows again within this time after an outage of the store.
 _LOST_SERVER_ROW_KEPT_S = 2.0
@@ -174,22 +176,41 @@
     async def drain(self) -> None:
         """Report not ready, serve new requests for `drain_listen_s`, finish the rest.
 
-        Returns when the last request ends, or shortly before the grace period ends.
+        Requests that can't be served in the grace period are refused, and those that
+        last longer get an error. Returns when the last response has been delivered, or
+        shortly before the grace period ends.
         """
         loop = asyncio.get_running_loop()
         drain_start_s = loop.time()
         self._draining = True
         self._caller_server.start_draining()
-        self._log.record("stopping", in_progress=self._caller_server.busy_connections)
-        drain_end_s = drain_start_s + self._settings.grace_s - _CLOSE_MARGIN_S
-        listen_end_s = min(drain_end_s, drain_start_s + self._settings.drain_listen_s)
-        while loop.time() < listen_end_s:
+        answer_s = self._settings.grace_s - _ANSWER_MARGIN_S
+        self._dispatch.begin_shutdown(answer_s)
+        self._log.record(
+            "stopping",
+            in_progress=self._caller_server.busy_connections,
+            waiting=len(self._state.queue),
+            answer_within_s=answer_s,
+        )
+        listen_s = min(answer_s, self._settings.drain_listen_s)
+        while loop.time() < drain_start_s + listen_s:
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
         # Requests accepted later might not finish within the grace period.
         self._caller_server.stop_listening()
-        while self._caller_server.busy_connections and loop.time() < drain_end_s:
+        end_s = drain_start_s + self._settings.grace_s - _CLOSE_MARGIN_S
+        while self._has_open_work and loop.time() < end_s:
             await asyncio.sleep(_DRAIN_POLL_INTERVAL_S)
 
+    @property
+    def _has_open_work(self) -> bool:
+        """Whether a response is due or not delivered, or KV cache to be released."""
+        server = self._caller_server
+        return bool(
+            server.busy_connections
+            or server.undelivered_connections
+            or self._dispatch.has_background_tasks
+        )
+
     async def close(self) -> None:
         """Close all servers, tasks and connections without waiting for requests."""
         self._log.record("stopped", in_progress=self._caller_server.busy_connections)
@@ -279,7 +300,9 @@
         timeout_s = call.timeout_s or 0.0
         hold_end_s = call.received_s + _HOLD_DEADLINE_RATIO * timeout_s
         try:
-            async with asyncio.timeout_at(max(self._startup_hold_end_s, hold_end_s)):
+            async with self._dispatch.shutdown.timeout_at(
+                max(self._startup_hold_end_s, hold_end_s)
+            ):
                 await self._tables_loaded.wait()
         except TimeoutError:
             self._log.record("serving_without_store", call.id)
--- a/gentianhoist/http1/_server.py
+++ b/gentianhoist/http1/_server.py
@@ -58,8 +58,18 @@
 
     @property
     def is_draining(self) -> bool:
-        """Whether the server is draining, so that each response is the last one."""
-        return self._server.is_draining
+        """Whether the server is draining, and no request waits for its response.
+
+        The next response is then the last one of the connection.
+        """
+        return self._server.is_draining and not self._pending_requests
+
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether a part of a response hasn't been passed to the network."""
+        return self._transport is not None and bool(
+            self._transport.get_write_buffer_size()
+        )
 
     @property
     def is_idle(self) -> bool:
@@ -321,6 +331,11 @@
         """
         return sum(not connection.is_idle for connection in self.connections)
 
+    @property
+    def undelivered_connections(self) -> int:
+        """Number of connections on which a part of a response isn't sent yet."""
+        return sum(connection.has_unsent_bytes for connection in self.connections)
+
     async def start(
         self, host: str, port: int, listener: socket.socket | None = None
     ) -> int:
--- a/gentianhoist/placement/__init__.py
+++ b/gentianhoist/placement/__init__.py
@@ -20,10 +20,12 @@
     PlacementPolicy,
 )
 from gentianhoist.placement._queue import (
+    STOP_REFUSAL,
     PlacementQueue,
     PlacementRefused,
     QueuedRequest,
     QueueOrder,
+    RefusalCause,
     UnplacedReason,
 )
 from gentianhoist.placement._server_health import ServerHealth, ServerHealthRegistry
@@ -51,6 +53,7 @@
     "Candidate",
     "GANG",
     "ONE_ENGINE",
+    "STOP_REFUSAL",
     "UNAVAILABLE",
     "ColdStartBudget",
     "Commitment",
@@ -73,6 +76,7 @@
     "PlacementRuleName",
     "QueueOrder",
     "PlacementRefused",
+    "RefusalCause",
     "RoundRobin",
     "UnplacedReason",
     "QueuedRequest",
--- a/gentianhoist/placement/_queue.py
+++ b/gentianhoist/placement/_queue.py
@@ -16,8 +16,10 @@
     "PlacementQueue",
     "QueueOrder",
     "PlacementRefused",
+    "RefusalCause",
     "UnplacedReason",
     "QueuedRequest",
+    "STOP_REFUSAL",
 ]
 
 _MAX_QUEUED = 512
@@ -26,6 +28,7 @@
 _EQUAL_WEIGHT = 1.0
 _RETRY_AFTER_S = 0.5
 _MAX_RETRY_AFTER_S = 3.0
+_STOP_RETRY_AFTER_S = 0.2
 # A scan of a long queue would hold up all other work of the entry.
 _MAX_TRIES_PER_SCAN = 8
 # Before the highest priority of a request, 0.
@@ -48,6 +51,14 @@
     RATE_LIMITED = "all engines have reached the rate limits that they name"
 
 
+class RefusalCause(Enum):
+    """What a request lacks that is refused."""
+
+    CAPACITY = "engines"
+    RATE_LIMITED = "rate limits of the engines"
+    STOPPING = "time until the entry stops"
+
+
 @dataclass(frozen=True)
 class PlacementRefused:
     """Refusal of a request that can't be placed in time; it has not run.
@@ -55,12 +66,20 @@
     Attributes:
         reason: Reason, for the log and the caller.
         retry_after_s: Expected seconds until capacity is available again.
-        is_rate_limited: Whether it is refused for the rate limits of the engines.
+        cause: What the request lacks.
     """
 
     reason: str
     retry_after_s: float
-    is_rate_limited: bool = False
+    cause: RefusalCause = RefusalCause.CAPACITY
+
+
+# Refusal of a request that other entries can still serve.
+STOP_REFUSAL = PlacementRefused(
+    "the response would not end before the entry stops",
+    _STOP_RETRY_AFTER_S,
+    RefusalCause.STOPPING,
+)
 
 
 @dataclass(eq=False)
@@ -85,6 +104,8 @@
             on time, on the entry's clock.
         lacks_capacity: Whether no engine had room for it at the last scan; it may also
             wait by choice.
+        service_s: Expected seconds from its placement to the end of its response.
+        is_entry_stopping: Whether `latest_start_s` is that early since the entry stops.
     """
 
     demand: Demand
@@ -99,6 +120,18 @@
     rate_limited_since_s: float | None = None
     on_time_until_s: float = float("inf")
     lacks_capacity: bool = False
+    service_s: float = 0.0
+    is_entry_stopping: bool = False
+
+    def end_by(self, end_s: float) -> None:
+        """Let it start only if its response ends before the entry does.
+
+        Args:
+            end_s: When the entry ends, on the entry's clock.
+        """
+        if end_s - self.service_s < self.latest_start_s:
+            self.latest_start_s = end_s - self.service_s
+            self.is_entry_stopping = True
 
     def is_late(self, now_s: float) -> bool:
         """Whether its first event will be late in any case."""
@@ -153,6 +186,7 @@
         self._late_drain = LateDrain()
         # Requests that the last scan had no time for; the next one begins with them.
         self._untried: list[QueuedRequest] = []
+        self._end_s = float("inf")
 
     def __len__(self) -> int:
         return len(self._queued)
@@ -198,8 +232,19 @@
 
     def add(self, request: QueuedRequest) -> None:
         """Add a request to the queue."""
+        request.end_by(self._end_s)
         self._queued.append(request)
 
+    def end_by(self, end_s: float) -> None:
+        """Place no request any more whose response would end later.
+
+        Args:
+            end_s: When the entry ends, on the entry's clock.
+        """
+        self._end_s = end_s
+        for request in self._queued:
+            request.end_by(end_s)
+
     def remove(self, request: QueuedRequest) -> None:
         """Remove a request that was placed, refused or cancelled."""
         if request in self._queued:
@@ -278,9 +323,7 @@
         for request in late:
             wait_s = self._late_drain.expected_wait_s(ahead, now_s)
             if now_s + wait_s > request.latest_start_s:
-                retry_after_s = min(_MAX_RETRY_AFTER_S, max(_RETRY_AFTER_S, wait_s))
-                reason = "too many requests wait for engines"
-                self._settle(request, PlacementRefused(reason, retry_after_s))
+                self._settle(request, _hopeless_refusal(request, wait_s))
             else:
                 ahead += 1
 
@@ -293,7 +336,17 @@
 
 
 def _late_refusal(request: QueuedRequest) -> PlacementRefused:
+    if request.is_entry_stopping:
+        return STOP_REFUSAL
     if request.rate_limited_since_s is not None:
         reason = UnplacedReason.RATE_LIMITED.value
-        return PlacementRefused(reason, _RETRY_AFTER_S, is_rate_limited=True)
+        return PlacementRefused(reason, _RETRY_AFTER_S, RefusalCause.RATE_LIMITED)
     return PlacementRefused("no engine became free in time", _RETRY_AFTER_S)
+
+
+def _hopeless_refusal(request: QueuedRequest, wait_s: float) -> PlacementRefused:
+    """Refuse a request whose turn would come too late, after `wait_s` seconds."""
+    if request.is_entry_stopping:
+        return STOP_REFUSAL
+    retry_after_s = min(_MAX_RETRY_AFTER_S, max(_RETRY_AFTER_S, wait_s))
+    return PlacementRefused("too many requests wait for engines", retry_after_s)
--- a/tests/platform_adapter/test_entry.py
+++ b/tests/platform_adapter/test_entry.py
@@ -1,6 +1,7 @@
 """End-to-end tests of one entry on stand-ins of the platform's services."""
 
 import asyncio
+import socket
 
 import aiohttp
 import msgspec
@@ -9,7 +10,7 @@
 from gentianhoist.fleet import FeedRow
 from gentianhoist.store import StoreVersion
 from gentianhoist_platform.configuration import decode_operators
-from gentianhoist_platform.standins import operator_configuration
+from gentianhoist_platform.standins import RawResponse, operator_configuration
 
 STREAM = b"".join(b"id: %d\ndata: x%d\n\n" % (i, i) for i in range(1, 6))
 
@@ -18,6 +19,13 @@
     return sum(server.runs[attempt_id] for server in deployment.servers.values())
 
 
+def _raw_request(path: str, attempt_id: str) -> bytes:
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: {attempt_id}\r\n"
+        "Deadline-Ms: 2000\r\nKey: key-1\r\nContent-Length: 2\r\n\r\n{}"
+    ).encode()
+
+
 class TestServing:
     async def test_plain_request_is_forwarded_unchanged(self, deployment):
         status, headers, body = await deployment.send("/press/a%2Fb?q=1", "p1")
@@ -189,6 +197,9 @@
 
 class TestStopping:
     async def test_requests_in_progress_are_finished(self, deployment):
+        gateway = deployment.gateway
+        # Two requests of 0.5 s after each other, one of them with a retry, must fit.
+        gateway._settings = gateway._settings._replace(grace_s=3.0)
         for server in deployment.servers.values():
             server._work_s = 0.5
         task = asyncio.ensure_future(deployment.send("/press/", "g1"))
@@ -218,3 +229,60 @@
             await deployment.send("/look/", "g4")
         assert (await task)[0] == 200
         await drain
+
+    # Guards against: prompts that wait for an engine are dropped when an entry stops.
+    async def test_waiting_prompts_are_refused_before_the_entry_ends(self, deployment):
+        for server in deployment.servers.values():
+            server.faults.silent = True
+        tasks = [
+            asyncio.ensure_future(
+                deployment.send("/brief/x", f"w{number}", Token_Count="5000,100")
+            )
+            for number in range(24)
+        ]
+        queue = deployment.gateway._state.queue
+        await deployment.wait_until(lambda: len(queue))
+        await deployment.gateway.drain()
+        await deployment.gateway.close()
+        statuses = [(await task)[0] for task in tasks]
+        assert set(statuses) <= {502, 503, 504}
+        assert 503 in statuses
+        for number, status in enumerate(statuses):
+            assert bool(_run_count(deployment, f"w{number}")) == (status != 503)
+
+    # Guards against: the next request of a connection is dropped when an entry stops.
+    async def test_requests_behind_another_one_are_answered(self, deployment):
+        for server in deployment.servers.values():
+            server._work_s = 0.4
+        reader, writer = await asyncio.open_connection("127.0.0.1", deployment.ports[0])
+        for number in range(3):
+            writer.write(_raw_request("/press/", f"q{number}"))
+        await deployment.wait_until(lambda: _run_count(deployment, "q0"))
+        await deployment.gateway.drain()
+        await deployment.gateway.close()
+        data = await asyncio.wait_for(reader.read(), 2.0)
+        writer.close()
+        assert data.count(b"HTTP/1.1 ") == 3
+        assert data.count(b"Connection: close") == 1
+
+    # Guards against: the end of a response that is ready isn't delivered.
+    async def test_responses_are_delivered_before_the_entry_ends(self, deployment):
+        body = b"x" * 6_000_000
+        for server in deployment.servers.values():
+            server.faults.raw_response = RawResponse(body)
+        caller = socket.socket()
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        caller.setblocking(False)
+        address = ("127.0.0.1", deployment.ports[0])
+        await asyncio.get_running_loop().sock_connect(caller, address)
+        reader, writer = await asyncio.open_connection(sock=caller)
+        writer.write(_raw_request("/press/", "v1"))
+        await deployment.wait_until(lambda: _run_count(deployment, "v1"))
+        await asyncio.sleep(0.2)
+        drain = asyncio.ensure_future(deployment.gateway.drain())
+        await asyncio.sleep(0.95)
+        assert not drain.done()
+        data = await asyncio.wait_for(reader.read(), 2.0)
+        await drain
+        writer.close()
+        assert len(data) > len(body)
