Bound what the bytes of one connection take of the event loop

Cause: for each blank line EventReader searched the rest of its buffer for the other kind of line end, so that the time grew with the square of the bytes. Beside that, work was linear but without a break: uvloop hands over up to 256 KiB at once, httptools calls back for each chunk, header or message in it, and the events of one part were forwarded one by one. The same held for callers, who could also send a header, trailers or an extension of a chunk without end.

Change: EventReader searches each byte once; a blank line is no event and goes with the event after it, 256 KiB without an event fail the attempt. Streams are split 2 KiB at a time, what came together is forwarded together. Responses have 256 headers at most; heads, framing and trailers of callers are limited; response bodies that are decoded in one go have 8 MiB (32 MiB before). Ids and versions of any length fail no request. The limits are chosen; an event of the users' servers has some hundred bytes.

--- a/gentianhoist/dispatch/_attempt.py
+++ b/gentianhoist/dispatch/_attempt.py
@@ -84,9 +84,9 @@
     events: int = 0
     first_event_s: float | None = None
 
-    def record_event(self, now_s: float) -> None:
-        """Record one event at the current time of the event loop's clock."""
-        self.events += 1
+    def record_events(self, count: int, now_s: float) -> None:
+        """Record events at the current time of the event loop's clock."""
+        self.events += count
         if self.first_event_s is None:
             self.first_event_s = now_s
 
--- a/gentianhoist/dispatch/_events.py
+++ b/gentianhoist/dispatch/_events.py
@@ -2,20 +2,25 @@
 
 from __future__ import annotations
 
+import re
 from typing import NamedTuple
 
 __all__ = ["EventReader", "StreamEvent"]
 
-_MAX_EVENT_BYTES = 1024 * 1024
-_TERMINATORS = (b"\n\n", b"\r\n\r\n")
-_MAX_TERMINATOR_BYTES = max(map(len, _TERMINATORS))
+# Size of an event, with the blank lines and comments before it, that a reader accepts.
+_MAX_EVENT_BYTES = 256 * 1024
+_BLANK_LINE = re.compile(rb"\n\r?\n")
+_MAX_BLANK_LINE_BYTES = 3
+_LINE_ENDS = b"\r\n"
+_ID_FIELD = re.compile(rb"(?:^|[\r\n])id(?::([^\r\n]*))?[\r\n]")
 
 
 class StreamEvent(NamedTuple):
     """One server-sent event.
 
     Attributes:
-        data: Bytes of the event including the blank line that ends it.
+        data: Bytes of the event including the blank line that ends it, and those before
+            it that belong to no event.
         id: Value of the id field, None without one.
     """
 
@@ -26,6 +31,8 @@
 class EventReader:
     """Buffers bytes and returns complete events.
 
+    The time to read a stream grows with its bytes, however these are arranged.
+
     Example:
         >>> reader = EventReader()
         >>> reader.feed(b"id: 1\\ndata: a\\n")
@@ -38,6 +45,8 @@
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        # Start of the next event's first line, after blank lines.
+        self._first_line = 0
         # Bytes from the start of the buffer in which no event ends.
         self._searched_bytes = 0
 
@@ -49,6 +58,8 @@
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete.
 
+        Blank lines end an event but are none themselves.
+
         Args:
             data: Next bytes of the body.
 
@@ -58,28 +69,29 @@
         """
         self._buffer += data
         events = []
-        while (end := self._event_end()) >= 0:
-            event = bytes(self._buffer[:end])
-            del self._buffer[:end]
-            self._searched_bytes = 0
-            events.append(StreamEvent(event, _event_id(event)))
+        start = 0
+        for match in _BLANK_LINE.finditer(self._buffer, self._searched_bytes):
+            end = match.end()
+            first_line = max(start, self._first_line)
+            self._first_line = end
+            self._searched_bytes = end
+            if self._buffer[first_line:end].strip(_LINE_ENDS):
+                event = bytes(self._buffer[start:end])
+                events.append(StreamEvent(event, _event_id(event)))
+                start = end
+        self._drop(start)
         if len(self._buffer) > _MAX_EVENT_BYTES:
             raise ValueError("event exceeds the size limit without an end")
-        self._searched_bytes = max(0, len(self._buffer) - _MAX_TERMINATOR_BYTES + 1)
         return events
 
-    def _event_end(self) -> int:
-        ends = [
-            position + len(terminator)
-            for terminator in _TERMINATORS
-            if (position := self._buffer.find(terminator, self._searched_bytes)) >= 0
-        ]
-        return min(ends, default=-1)
+    def _drop(self, end: int) -> None:
+        """Drop the bytes of events that were returned."""
+        del self._buffer[:end]
+        unsearched_from = len(self._buffer) - _MAX_BLANK_LINE_BYTES + 1
+        self._searched_bytes = max(0, self._searched_bytes - end, unsearched_from)
+        self._first_line = max(0, self._first_line - end)
 
 
 def _event_id(event: bytes) -> bytes | None:
-    for line in event.splitlines():
-        name, _, value = line.partition(b":")
-        if name == b"id":
-            return value.strip()
-    return None
+    match = _ID_FIELD.search(event)
+    return None if match is None else (match[1] or b"").strip()
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncGenerator
 
 from gentianhoist.dispatch._attempt import (
     Attempt,
@@ -30,6 +31,8 @@
 # A prompt that crashes its engine does so as soon as the answer begins. A stream that
 # has been written for longer is only a victim of the crash.
 _MAX_SUSPECT_WRITING_S = 0.25
+# A part of a stream of this size may hold thousands of events.
+_MAX_PART_BYTES = 2 * 1024
 
 
 class StreamRelay(Sender):
@@ -161,20 +164,14 @@
             data = await self._next_chunk(attempt, wait_deadline_s)
             if not data:
                 break
-            try:
-                events = reader.feed(data)
-            except ValueError as error:
-                raise AttemptFailed(Execution.UNKNOWN, str(error)) from error
-            for event in events:
-                self._progress.record_event(self._loop.time())
+            async for events in _read_events(reader, data):
+                self._progress.record_events(len(events), self._loop.time())
                 if first:
                     first = False
                     self._placer.record_first_event(
                         reserved, self._loop.time() - sent_s
                     )
-                if not self._is_duplicate(event):
-                    await self._forward(event, response)
-            if not first:
+                await self._forward(events, response)
                 wait_deadline_s = self._stall_deadline_s()
         if reader.incomplete.strip():
             raise AttemptFailed(
@@ -188,6 +185,8 @@
                 "the stream ended without an event",
                 connection_lost=True,
             )
+        if self._responder.started:
+            await self._responder.send_chunk(reader.incomplete)
 
     def _is_duplicate(self, event: StreamEvent) -> bool:
         """Whether a resumed stream repeats a forwarded event; ids increase."""
@@ -195,7 +194,7 @@
             return False
         if not (event.id.isdigit() and self._last_event_id.isdigit()):
             return event.id == self._last_event_id
-        return int(event.id) <= int(self._last_event_id)
+        return _number_key(event.id) <= _number_key(self._last_event_id)
 
     async def _next_chunk(self, attempt: Attempt, wait_deadline_s: float) -> bytes:
         while True:
@@ -224,7 +223,19 @@
         timeout_s = max(_MIN_STALL_TIMEOUT_S, ratio * request.route.pause_goal_s)
         return min(request.deadline_s, self._loop.time() + timeout_s)
 
-    async def _forward(self, event: StreamEvent, response: ServerResponse) -> None:
+    async def _forward(
+        self, events: list[StreamEvent], response: ServerResponse
+    ) -> None:
+        """Forward the events that the caller doesn't have yet."""
+        parts = []
+        for event in events:
+            if self._is_duplicate(event):
+                continue
+            parts.append(event.data)
+            if event.id is not None:
+                self._last_event_id = event.id
+        if not parts:
+            return
         now_s = self._loop.time()
         if not self._responder.started:
             self._responder.start_chunked(response.status, response.headers)
@@ -235,10 +246,8 @@
                 self._longest_pause_s, now_s - (self._request.last_event_s or now_s)
             )
         self._request.last_event_s = now_s
-        if event.id is not None:
-            self._last_event_id = event.id
-        self._events_forwarded += 1
-        await self._responder.send_chunk(event.data)
+        self._events_forwarded += len(parts)
+        await self._responder.send_chunk(b"".join(parts))
 
     async def _retry_or_forward_error(
         self, attempt: Attempt, response: ServerResponse
@@ -289,3 +298,28 @@
             sends=self._request.sends,
             configuration=self._request.configuration_version,
         )
+
+
+async def _read_events(
+    reader: EventReader, data: bytes
+) -> AsyncGenerator[list[StreamEvent], None]:
+    """Read the events of a stream's next bytes; others get their turn in between.
+
+    Raises:
+        AttemptFailed: If an event has no end.
+    """
+    for start in range(0, len(data), _MAX_PART_BYTES):
+        if start:
+            await asyncio.sleep(0)
+        try:
+            events = reader.feed(data[start : start + _MAX_PART_BYTES])
+        except ValueError as error:
+            raise AttemptFailed(Execution.UNKNOWN, str(error)) from error
+        if events:
+            yield events
+
+
+def _number_key(digits: bytes) -> tuple[int, bytes]:
+    """Return a key that orders decimal numbers, however long they are."""
+    significant = digits.lstrip(b"0")
+    return len(significant), significant
--- a/gentianhoist/http1/_client.py
+++ b/gentianhoist/http1/_client.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from gentianhoist.http1._input import SlicedInput
 from gentianhoist.http1.core import Headers, get_header
 
 __all__ = ["ClientConnection", "ConnectionFailed", "ResponseHead"]
@@ -21,6 +22,8 @@
 _MAX_BUFFERED_BYTES = 256 * 1024
 # Bytes of heads, chunk framing and trailers since the last byte of a body.
 _MAX_OVERHEAD_BYTES = 64 * 1024
+# Each part of a message is looked up in all headers.
+_MAX_HEADERS = 256
 _NO_CONTENT = 204
 _NOT_MODIFIED = 304
 _FIRST_FINAL_STATUS = 200
@@ -71,7 +74,9 @@
 
 
 class _DataEvent(NamedTuple):
-    data: bytes
+    """Bytes of a body; more are appended until they are read."""
+
+    data: bytearray
 
 
 class _EndEvent(NamedTuple):
@@ -88,9 +93,12 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
+        self._input = SlicedInput(self._parse, self._has_room)
         self._events: deque[_ResponseEvent] = deque()
         self._reader_future: asyncio.Future[None] | None = None
         self._failure_message: str | None = None
+        # Set once the connection has ended, while received bytes are still parsed.
+        self._lost_message: str | None = None
         self._headers: Headers = []
         self._in_response = False
         self._in_headers = False
@@ -139,6 +147,7 @@
             and not self._reuse_forbidden
             and self._failure_message is None
             and not self._pending_responses
+            and self._input.is_empty
         )
 
     def send(self, data: bytes, *, head_only: bool = False) -> None:
@@ -176,6 +185,8 @@
     async def read_data(self) -> bytes:
         """Wait for the next part of the body; empty when the response is complete.
 
+        Gives others their turn, also if there are bytes already.
+
         Raises:
             ConnectionFailed: If the connection fails before the response is complete.
         """
@@ -183,12 +194,8 @@
         match event:
             case _DataEvent(data=data):
                 self._buffered_bytes -= len(data)
-                if (
-                    self._buffered_bytes < _MAX_BUFFERED_BYTES
-                    and self._transport is not None
-                ):
-                    self._transport.resume_reading()
-                return data
+                self._input.update()
+                return bytes(data)
             case _EndEvent():
                 return b""
             case _HeadEvent():
@@ -215,11 +222,23 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)
+        self._input.start(transport)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def data_received(self, data: bytes) -> None:
+        self._input.receive(data)
+
+    def _has_room(self) -> bool:
+        return self._buffered_bytes < _MAX_BUFFERED_BYTES
+
+    def _parse(self, data: memoryview) -> None:
+        self._parse_response(data)
+        if self._lost_message is not None and self._input.is_empty:
+            self._fail(self._lost_message)
+
+    def _parse_response(self, data: memoryview) -> None:
         if not self._pending_responses:
             self._forbid_reuse_and_abort_if_idle()
             return
@@ -240,7 +259,12 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
-        self._fail(f"connection lost: {exc!r}" if exc else "connection closed")
+        self._input.detach()
+        message = f"connection lost: {exc!r}" if exc else "connection closed"
+        if self._input.is_empty:
+            self._fail(message)
+        else:
+            self._lost_message = message
 
     # Callbacks of the httptools parser.
 
@@ -253,8 +277,11 @@
         self._in_response = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._in_headers:
-            self._headers.append((name, value))
+        if not self._in_headers:
+            return
+        if len(self._headers) >= _MAX_HEADERS:
+            raise ValueError("too many headers")
+        self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         self._in_headers = False
@@ -279,10 +306,12 @@
         if not self._pending_responses:
             return
         self._overhead_bytes = 0
-        self._enqueue(_DataEvent(bytes(data)))
         self._buffered_bytes += len(data)
-        if self._buffered_bytes >= _MAX_BUFFERED_BYTES and self._transport is not None:
-            self._transport.pause_reading()
+        match self._events[-1] if self._events else None:
+            case _DataEvent(data=buffered):
+                buffered += data
+            case _:
+                self._enqueue(_DataEvent(bytearray(data)))
 
     def on_message_complete(self) -> None:
         if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
@@ -322,6 +351,7 @@
             self._transport.abort()
 
     def _fail(self, message: str) -> None:
+        self._input.close()
         if self._failure_message is None:
             self._failure_message = message
         self._wake_reader()
@@ -335,6 +365,8 @@
             self._reader_future.set_result(None)
 
     async def _next_event(self) -> _ResponseEvent:
+        if self._events:
+            await asyncio.sleep(0)
         while not self._events:
             if self._failure_message is not None:
                 raise ConnectionFailed(self._failure_message, sent=self._request_sent)
--- a/gentianhoist/http1/_exchange.py
+++ b/gentianhoist/http1/_exchange.py
@@ -11,7 +11,8 @@
 __all__ = ["BufferedResponse", "exchange"]
 
 
-_MAX_BODY_BYTES = 32 * 1024 * 1024
+# A body is decoded in one go.
+_MAX_BODY_BYTES = 8 * 1024 * 1024
 
 
 class BufferedResponse(NamedTuple):
--- a/gentianhoist/http1/_server.py
+++ b/gentianhoist/http1/_server.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from gentianhoist.http1._input import SlicedInput
 from gentianhoist.http1._responder import CallerRequest, Responder
 from gentianhoist.http1.core import RequestLimits, get_header
 
@@ -20,6 +21,9 @@
 
 # Reading pauses while this many requests of a connection wait for a response.
 _MAX_PIPELINED = 16
+# Bytes of chunk framing and trailers since the last byte of a body, and of a head
+# beyond its own limit.
+_MAX_FRAMING_BYTES = 16 * 1024
 _LINGER_S = 1.0
 _MAX_WRITE_BUFFER_BYTES = 256 * 1024
 _LISTEN_BACKLOG = 1024
@@ -42,9 +46,12 @@
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
         self._request = CallerRequest()
-        self._body_parts: list[bytes] = []
-        # Bytes received of the target and headers, then of the body.
+        self._input = SlicedInput(self._parse, self._has_room)
+        self._body = bytearray()
+        # Bytes of the target and of complete headers, then of the body.
         self._section_bytes = 0
+        # All bytes received since the last message began or went on.
+        self._overhead_bytes = 0
         self._in_headers = False
         self._pending_requests: deque[CallerRequest] = deque()
         self._handler_task: asyncio.Task[None] | None = None
@@ -87,6 +94,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = transport = cast(asyncio.Transport, transport)
+        self._input.start(transport)
         transport.set_write_buffer_limits(high=_MAX_WRITE_BUFFER_BYTES)
         sock = transport.get_extra_info("socket")
         if sock is not None:
@@ -95,8 +103,21 @@
         self._start_timer(self._server.limits().idle_timeout_s, self._on_idle_timeout)
 
     def data_received(self, data: bytes) -> None:
-        if self._discards_input or self._error_status:
+        if self._is_reading:
+            self._input.receive(data)
+
+    @property
+    def _is_reading(self) -> bool:
+        """Whether received bytes may still hold a request."""
+        return not (self._discards_input or self._error_status)
+
+    def _has_room(self) -> bool:
+        return not self._is_reading or len(self._pending_requests) < _MAX_PIPELINED
+
+    def _parse(self, data: memoryview) -> None:
+        if not self._is_reading:
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -108,6 +129,7 @@
         except httptools.HttpParserError as error:
             _log.info("request could not be parsed", extra={"cause": str(error)})
             self._error_status = self._error_status or _BAD_REQUEST
+        self._check_overhead()
         self._start_next_request()
 
     def eof_received(self) -> bool:
@@ -116,6 +138,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._server.connections.discard(self)
+        self._input.close()
         self._cancel_timer()
         self._writable.set()
         self._pending_requests.clear()
@@ -133,8 +156,9 @@
 
     def on_message_begin(self) -> None:
         self._request = CallerRequest()
-        self._body_parts = []
+        self._body = bytearray()
         self._section_bytes = 0
+        self._overhead_bytes = 0
         self._in_headers = True
         self._start_timer(
             self._server.limits().header_timeout_s, self._on_header_timeout
@@ -167,26 +191,29 @@
 
     def on_body(self, data: bytes) -> None:
         self._section_bytes += len(data)
+        self._overhead_bytes = 0
         if self._section_bytes > self._server.limits().max_body_bytes:
             self._reject(_BODY_TOO_LARGE)
-        self._body_parts.append(data)
+        self._body += data
 
     def on_message_complete(self) -> None:
-        self._request.body = b"".join(self._body_parts)
+        self._request.body = bytes(self._body)
         self._request.received_s = self._loop.time()
-        self._body_parts = []
+        self._body = bytearray()
+        self._overhead_bytes = 0
         self._pending_requests.append(self._request)
-        if (
-            len(self._pending_requests) >= _MAX_PIPELINED
-            and self._transport is not None
-        ):
-            self._transport.pause_reading()
 
     def _add_header_bytes(self, count: int) -> None:
         self._section_bytes += count
         if self._section_bytes > self._server.limits().max_header_bytes:
             self._reject(_HEADERS_TOO_LARGE)
 
+    def _check_overhead(self) -> None:
+        """Reject a head, a chunk's framing or trailers that have no end."""
+        max_bytes = self._server.limits().max_header_bytes + _MAX_FRAMING_BYTES
+        if self._overhead_bytes > max_bytes and not self._error_status:
+            self._error_status = _HEADERS_TOO_LARGE
+
     def _reject(self, status: int) -> None:
         self._error_status = status
         raise ValueError(status)
@@ -221,6 +248,7 @@
         self._discards_input = True
         if self._transport is None:
             return
+        self._input.update()
         if self._transport.can_write_eof():
             self._transport.write_eof()
         self._start_timer(_LINGER_S, self.close)
@@ -241,7 +269,7 @@
         request = self._pending_requests.popleft()
         if not self._in_headers:
             self._cancel_timer()
-        self._transport.resume_reading()
+        self._input.update()
         is_last = bool(self._error_status) and not self._pending_requests
         responder = Responder(
             self,
--- a/gentianhoist/peers/_tables.py
+++ b/gentianhoist/peers/_tables.py
@@ -46,6 +46,8 @@
 _MAX_ASKED = 8
 # Connection pools are kept for at most this many entries.
 _MAX_POOLS = 16
+# Of a version in a request, both numbers together.
+_MAX_VERSION_DIGITS = 64
 
 
 class PeerTableExchange:
@@ -191,4 +193,6 @@
     history, _, number = text.partition(b".")
     if not history.isdigit() or not number.isdigit():
         return None
+    if len(text) > _MAX_VERSION_DIGITS:
+        return None
     return StoreVersion(int(history), int(number))
--- a/tests/dispatch/test_events.py
+++ b/tests/dispatch/test_events.py
@@ -44,3 +44,29 @@
             while True:
                 reader.feed(b"data: x\n" * 100)
         assert time.process_time() - began_s < PAUSE_GOAL_S
+
+    # Guards against: the time for blank lines grows with the square of their number.
+    @pytest.mark.parametrize("line", [b"\n", b"\r\n", b"\r", b"\na", b":\n\n"])
+    def test_tiny_lines_do_not_stop_the_entry(self, line):
+        reader = EventReader()
+        began_s = time.process_time()
+        reader.feed(line * (64_000 // len(line)))
+        assert time.process_time() - began_s < PAUSE_GOAL_S
+
+    def test_blank_lines_without_an_event_have_a_limit(self):
+        reader = EventReader()
+        with pytest.raises(ValueError):
+            for _ in range(1_000):
+                assert not reader.feed(b"\n" * 1_000)
+
+    # Guards against: bytes between two events are lost, or count as an event.
+    def test_blank_lines_belong_to_the_event_after_them(self):
+        reader = EventReader()
+        data = b"\n\n\r\n\nid: 1\n\n\n\n\nid\r\n\r\n\n"
+        events = reader.feed(data)
+        assert [event.id for event in events] == [b"1", b""]
+        assert b"".join(event.data for event in events) + reader.incomplete == data
+
+    def test_an_event_with_many_digits_is_read(self):
+        (event,) = EventReader().feed(b"id: %b\n\n" % (b"9" * 100_000))
+        assert len(event.id) == 100_000
--- a/tests/platform_adapter/test_answers.py
+++ b/tests/platform_adapter/test_answers.py
@@ -6,6 +6,7 @@
 import pytest
 
 from gentianhoist_platform.standins import RawResponse
+from tests.turn_monitor import PASS_S, TurnMonitor
 
 STREAM = b"".join(b"id: %d\ndata: x%d\n\n" % (i, i) for i in range(1, 6))
 PROMPT = {"Token_Count": "5000,100"}
@@ -67,6 +68,36 @@
             status, _, body = await deployment.send("/brief/x", f"s{number}", **PROMPT)
             assert (status, body) == (200, STREAM)
 
+    # Guards against: such lines keep the entry from all other requests for seconds.
+    @pytest.mark.parametrize("begin", [b"", STREAM[:20]])
+    @pytest.mark.parametrize("repeated", [b"\n" * 65_536, b":\n\n" * 20_000])
+    async def test_other_requests_are_served_meanwhile(
+        self, deployment, begin, repeated
+    ):
+        set_raw(deployment, RawResponse(begin, repeated), "e0", "e1")
+        streams = [
+            asyncio.ensure_future(deployment.send("/brief/x", f"b{number}", **PROMPT))
+            for number in range(2)
+        ]
+        monitor = TurnMonitor()
+        for number in range(20):
+            status, _, _ = await asyncio.wait_for(
+                deployment.send("/look/x", f"m{number}"), PROMPT_FAILURE_S
+            )
+            assert status == 200
+            await asyncio.sleep(0.02)
+        await asyncio.gather(*streams, return_exceptions=True)
+        monitor.close()
+        assert monitor.longest_s < PASS_S
+
+    # Guards against: a number that is too long for an integer fails the request.
+    async def test_stream_with_many_digits_is_passed_on(self, deployment):
+        event = b"id: %b\ndata: x\n\n" % (b"9" * 10_000)
+        set_raw(deployment, RawResponse(event + event[:3] + event[4:]), "e0", "e1")
+        status, _, body = await deployment.send("/brief/x", "n1", **PROMPT)
+        assert status == 200
+        assert body.startswith(event)
+
     async def test_response_is_repeated_elsewhere(self, deployment):
         set_raw(deployment, RawResponse(b"", b"a" * 100_000), "d0")
         for number in range(3):
