Keep a silent engine until another one has a place for its stream

Cause: a stream without an event for 0.75 s gave up its engine as soon as the retry budget allowed a retry, before there was a place for it; when all engines were full it waited like a new prompt, was refused and broken off.

Change: StreamRelay abandons a silent engine only while PromptPlacer.has_place_without finds a place at another one, and looks each 0.25 s (chosen).

Evidence: test_it_is_kept_while_no_other_has_a_place fails before (the stream was given up after 0.9 s) and passes now.

--- a/gentianhoist/dispatch/_prompt_placer.py
+++ b/gentianhoist/dispatch/_prompt_placer.py
@@ -15,7 +15,7 @@
 from gentianhoist.dispatch._placement_constraints import PlacementConstraints
 from gentianhoist.dispatch._request import Request
 from gentianhoist.exceptions import ErrorKind, HoistError
-from gentianhoist.fleet import EngineProfile
+from gentianhoist.fleet import BackendServer, EngineProfile
 from gentianhoist.placement import (
     GANG,
     ONE_ENGINE,
@@ -114,6 +114,30 @@
             self.release(reserved)
             await asyncio.sleep(_RESERVE_RETRY_DELAY_S)
 
+    def has_place_without(self, server: BackendServer) -> bool:
+        """Whether the prompt finds a place at once if an engine is given up.
+
+        Args:
+            server: The engine that it was sent to.
+        """
+        now_s = self._context.clock.monotonic_s()
+        if not self._state.queue.can_bypass(self._request.organisation_name, now_s):
+            return False
+        demand = self._demand()
+        servers = [
+            other for other in self._constraints.candidates() if other.id != server.id
+        ]
+        engines = self._engine_candidates(demand, servers, now_s)
+        if not any(item.is_within_rate_limit for item in engines.candidates):
+            return False
+        placement = self._choose_engines(demand, servers, engines, now_s)
+        return placement is not None and not should_wait(
+            self._state.policy.placement_rule,
+            demand,
+            placement,
+            self._slack_until_stop_s(demand),
+        )
+
     def record_first_event(self, reserved: ReservedPlacement, after_s: float) -> None:
         """Record the first event of the stream.
 
@@ -279,11 +303,12 @@
         now_s = self._context.clock.monotonic_s()
         demand = self._demand()
         rule = self._state.policy.placement_rule
-        engines = self._engine_candidates(demand, now_s)
+        servers = self._constraints.candidates()
+        engines = self._engine_candidates(demand, servers, now_s)
         candidates = engines.candidates
         if candidates and not any(item.is_within_rate_limit for item in candidates):
             return UnplacedReason.RATE_LIMITED
-        placement = self._choose_engines(demand, engines, now_s)
+        placement = self._choose_engines(demand, servers, engines, now_s)
         if placement is None:
             return UnplacedReason.NO_CAPACITY
         is_rate_limited = item is not None and item.rate_limited_since_s is not None
@@ -307,19 +332,25 @@
         )
         return placement
 
-    def _engine_candidates(self, demand: Demand, now_s: float) -> EngineCandidates:
+    def _engine_candidates(
+        self, demand: Demand, servers: list[BackendServer], now_s: float
+    ) -> EngineCandidates:
         prefill_s = self._profile().prefill_s(demand.prompt_tokens)
         is_single = suits_one_engine(demand, prefill_s)
         return shortlisted_candidates(
             self._state,
             self._constraints.group,
-            self._constraints.candidates(),
+            servers,
             now_s,
             ONE_ENGINE if is_single else GANG,
         )
 
     def _choose_engines(
-        self, demand: Demand, engines: EngineCandidates, now_s: float
+        self,
+        demand: Demand,
+        servers: list[BackendServer],
+        engines: EngineCandidates,
+        now_s: float,
     ) -> Placement | None:
         rule = self._state.policy.placement_rule
         profile = self._profile()
@@ -335,7 +366,6 @@
         placement = place(rule, demand, candidates, profile, now_s, rng, fleet_load)
         if placement is None and not engines.is_complete and self._is_large(demand):
             # Only an engine with more requests may have enough KV cache left.
-            servers = self._constraints.candidates()
             group = self._constraints.group
             candidates = all_candidates(self._state, group, servers, now_s)
             return place(rule, demand, candidates, profile, now_s, rng, fleet_load)
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -19,6 +19,7 @@
 from gentianhoist.dispatch._request import Request
 from gentianhoist.dispatch._sender import Sender
 from gentianhoist.exceptions import HoistError
+from gentianhoist.fleet import BackendServer
 from gentianhoist.http1 import Responder
 
 __all__ = ["StreamRelay"]
@@ -28,6 +29,8 @@
 _FIRST_EVENT_MARGIN_S = 0.3
 _MIN_STALL_TIMEOUT_S = 0.75
 _RETRY_MARGIN_S = 0.4
+# Interval at which a stream whose engine is silent looks for a place at another one.
+_PLACE_POLL_INTERVAL_S = 0.25
 # A prompt that crashes its engine does so as soon as the answer begins. A stream that
 # has been written for longer is only a victim of the crash.
 _MAX_SUSPECT_WRITING_S = 0.25
@@ -61,6 +64,19 @@
         writing_s = self._progress.writing_s(self._loop.time())
         return self._is_served or writing_s > _MAX_SUSPECT_WRITING_S
 
+    async def reserve_retry(self, server: BackendServer) -> bool:
+        """Reserve a retry; returns whether a silent engine may be abandoned.
+
+        It is kept until another one has a place: an engine is also silent while it
+        reads a long prompt, and a stream that finds no place is lost.
+
+        Args:
+            server: The silent engine.
+        """
+        if not self._placer.has_place_without(server):
+            return False
+        return await super().reserve_retry(server)
+
     async def _run_attempts(self) -> str:
         while True:
             try:
@@ -105,7 +121,7 @@
         try:
             wait_deadline_s = self._first_event_deadline_s(reserved)
             response = await self.await_response(
-                attempt, wait_deadline_s, _MIN_FIRST_EVENT_TIMEOUT_S
+                attempt, wait_deadline_s, _PLACE_POLL_INTERVAL_S
             )
             if response.status != _OK:
                 return await self._retry_or_forward_error(attempt, response)
@@ -212,7 +228,7 @@
                         no_response=True,
                     ) from None
             wait_deadline_s = min(
-                self._request.deadline_s, self._loop.time() + _MIN_STALL_TIMEOUT_S
+                self._request.deadline_s, self._loop.time() + _PLACE_POLL_INTERVAL_S
             )
 
     def _stall_deadline_s(self) -> float:
