Read the body of a request that offers an upgrade

Cause: httptools takes such a request for complete after its head and stops; the handler of that stop queued the request as it was and ignored the bytes after it.

Change: the offer is declined. The request is complete once a second parser, which gets the same framing headers, has read its body. The connection closes after the response, as before.

--- a/gentianhoist/http1/_server.py
+++ b/gentianhoist/http1/_server.py
@@ -31,6 +31,8 @@
 _REQUEST_TIMEOUT = 408
 _BODY_TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
+_CONNECT = b"CONNECT"
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 # Writes the response to a request.
@@ -62,6 +64,8 @@
         # requests before it. 0: none. -1: parsing has stopped, with no error to send.
         self._error_status = 0
         self._discards_input = False
+        # From the head that offers an upgrade until the parser of its body has begun.
+        self._in_declined_upgrade = False
 
     @property
     def is_draining(self) -> bool:
@@ -119,11 +123,7 @@
             return
         self._overhead_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            # The server never switches protocols: the request is handled as if it had
-            # not asked for an upgrade, and bytes after it are ignored.
-            self._error_status = self._error_status or -1
+            self._feed(data)
         except httptools.HttpParserCallbackError:
             self._error_status = self._error_status or _BAD_REQUEST
         except httptools.HttpParserError as error:
@@ -132,6 +132,35 @@
         self._check_overhead()
         self._start_next_request()
 
+    def _feed(self, data: memoryview | bytes) -> None:
+        """Feed the parser, which stops after a head that offers an upgrade.
+
+        The server never switches protocols, so it goes on as if nothing were offered.
+        """
+        while True:
+            try:
+                self._parser.feed_data(data)
+            except httptools.HttpParserUpgrade as stop:
+                if not self._in_declined_upgrade:
+                    # A tunnel was asked for: the bytes after it are no request.
+                    self._error_status = self._error_status or -1
+                    return
+                (parsed_bytes,) = stop.args
+                self._parser = httptools.HttpRequestParser(self)
+                data = self._encode_framing() + bytes(data[parsed_bytes:])
+            else:
+                return
+
+    def _encode_framing(self) -> bytes:
+        """Encode a head after which a new parser reads the body of the request."""
+        headers = [
+            item
+            for item in self._request.headers
+            if item[0].lower() in _FRAMING_HEADERS
+        ]
+        lines = [b"POST / HTTP/1.1", *(b"%b: %b" % item for item in headers)]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
     def eof_received(self) -> bool:
         # A caller that has closed its sending side is assumed not to read the response.
         return False
@@ -155,6 +184,8 @@
     # Callbacks of the httptools parser.
 
     def on_message_begin(self) -> None:
+        if self._in_declined_upgrade:
+            return
         self._request = CallerRequest()
         self._body = bytearray()
         self._section_bytes = 0
@@ -165,6 +196,8 @@
         )
 
     def on_url(self, url: bytes) -> None:
+        if self._in_declined_upgrade:
+            return
         self._request.target += url
         self._add_header_bytes(len(url))
 
@@ -175,12 +208,17 @@
         self._add_header_bytes(len(name) + len(value) + 4)
 
     def on_headers_complete(self) -> None:
+        if self._in_declined_upgrade:
+            self._in_declined_upgrade = False
+            return
         self._in_headers = False
         self._section_bytes = 0
         self._cancel_timer()
         request = self._request
         request.method = self._parser.get_method()
-        request.keep_alive = self._parser.should_keep_alive()
+        offers_upgrade = bool(self._parser.should_upgrade())
+        self._in_declined_upgrade = offers_upgrade and request.method != _CONNECT
+        request.keep_alive = self._parser.should_keep_alive() and not offers_upgrade
         max_bytes = self._server.limits().max_body_bytes
         declared_length = get_header(request.headers, b"content-length")
         if declared_length is not None and int(declared_length) > max_bytes:
@@ -197,6 +235,8 @@
         self._body += data
 
     def on_message_complete(self) -> None:
+        if self._in_declined_upgrade:
+            return
         self._request.body = bytes(self._body)
         self._request.received_s = self._loop.time()
         self._body = bytearray()
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -115,6 +115,40 @@
         )
         assert b"X-Body: 3" in response
 
+    # Guards against: a request that offers an upgrade is handled with an empty body.
+    @pytest.mark.parametrize("pieces", [1, 1_000])
+    @pytest.mark.parametrize(
+        "framed_body",
+        [
+            b"Content-Length: 5\r\n\r\nabcde",
+            b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+        ],
+    )
+    async def test_body_after_an_offered_upgrade_is_read(
+        self, recorder, framed_body, pieces
+    ):
+        offer = (
+            b"POST /a HTTP/1.1\r\nHost: a\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+            b"Upgrade: h2c\r\nHTTP2-Settings: AAMAAABkAAQAoAAAAAIAAAAA\r\n"
+        )
+        data = offer + framed_body + VALID_GET
+        size = -(-len(data) // pieces)
+        parts = [data[i : i + size] for i in range(0, len(data), size)]
+        response = await _exchange(recorder, *parts)
+        assert response.count(b"HTTP/1.1 200 ") == 1
+        assert b"Connection: close" in response
+        requests = [(item.target, item.body) for item in recorder.requests]
+        assert requests == [(b"/a", b"abcde")]
+
+    async def test_ambiguous_body_after_an_offered_upgrade_is_refused(self, recorder):
+        data = (
+            b"POST /a HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+            b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        )
+        response = await _exchange(recorder, data)
+        assert response.startswith(b"HTTP/1.1 400 ")
+        assert recorder.requests == []
+
     async def test_upgrade_is_ignored(self, recorder):
         data = (
             b"GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n"
