Take a value that is nested too deep for invalid, like any other

Cause: the decoder raises RecursionError for it, and the handlers of invalid rows caught the decoder's own errors only, so it ended the update of the whole table each time.

Change: DECODE_ERRORS names all that a decoder raises; every handler of another process's data uses it: rows, responses of the store, entries' messages and tables, bodies on the product's own interface.

--- a/gentianhoist/configuration/_replica.py
+++ b/gentianhoist/configuration/_replica.py
@@ -5,8 +5,6 @@
 from collections import deque
 from collections.abc import Iterable
 
-import msgspec
-
 from gentianhoist.configuration._changes import (
     ChangeRecord,
     apply_record,
@@ -18,6 +16,7 @@
     decode_configuration,
     encode_configuration,
 )
+from gentianhoist.exceptions import DECODE_ERRORS
 from gentianhoist.fleet import MonotonicReplica
 from gentianhoist.wire import ConfigurationUpdate
 
@@ -131,7 +130,7 @@
         """
         try:
             return self._apply_or_raise(update)
-        except (msgspec.MsgspecError, ExceptionGroup):
+        except (*DECODE_ERRORS, ExceptionGroup):
             return False
 
     def _apply_or_raise(self, update: ConfigurationUpdate) -> bool:
--- a/gentianhoist/entry/_openai.py
+++ b/gentianhoist/entry/_openai.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from gentianhoist.exceptions import ErrorKind, HoistError
+from gentianhoist.exceptions import DECODE_ERRORS, ErrorKind, HoistError
 
 _FIELD_PATH = re.compile(r"`\$\.?([^`]*)`")
 
@@ -136,7 +136,7 @@
         missing = re.search(r"required field `([^`]*)`", message)
         match = unknown or missing or path
         raise _invalid_field(match.group(1) if match else "", message) from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (*DECODE_ERRORS, UnicodeDecodeError) as error:
         raise _invalid_field("", f"the body is not valid JSON: {error}") from error
 
 
--- a/gentianhoist/exceptions.py
+++ b/gentianhoist/exceptions.py
@@ -11,7 +11,10 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+import msgspec
+
 __all__ = [
+    "DECODE_ERRORS",
     "ERROR_RESPONSES",
     "ErrorResponse",
     "ErrorKind",
@@ -21,6 +24,11 @@
 ]
 
 
+# What a decoder raises for data of another process. Values that are nested too deep
+# give a RecursionError, also in fields that are skipped.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
+
+
 class NotRun(StrEnum):
     """Whether a failed request is known not to have been executed.
 
--- a/gentianhoist/peers/_tables.py
+++ b/gentianhoist/peers/_tables.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from gentianhoist.clocks import Clock
+from gentianhoist.exceptions import DECODE_ERRORS
 from gentianhoist.fleet import FeedPage, TableCopy, TableState
 from gentianhoist.http1 import (
     CallerRequest,
@@ -148,7 +149,7 @@
             return None
         try:
             return self._decoder.decode(response.body)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             _log.warning(
                 "table response of entry could not be decoded",
                 extra={"host": host, "cause": str(error)},
--- a/gentianhoist/peers/core.py
+++ b/gentianhoist/peers/core.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from gentianhoist.clocks import Clock
+from gentianhoist.exceptions import DECODE_ERRORS
 from gentianhoist.peers._messages import (
     Batch,
     CommitmentAdded,
@@ -274,7 +275,7 @@
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         try:
             batch = self._decoder.decode(data)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             _log.warning(
                 "datagram of entry could not be decoded", extra={"cause": str(error)}
             )
--- a/gentianhoist/quarantine/_record_store.py
+++ b/gentianhoist/quarantine/_record_store.py
@@ -8,9 +8,8 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-import msgspec
-
 from gentianhoist.clocks import Clock
+from gentianhoist.exceptions import DECODE_ERRORS
 from gentianhoist.fleet import FeedRow
 from gentianhoist.quarantine._interfaces import DecisionRecorder, QuarantineRows
 from gentianhoist.quarantine._records import (
@@ -194,7 +193,7 @@
         return None
     try:
         return decode_record(row.value)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         _log.warning(
             "ignoring a quarantine record that cannot be decoded",
             extra={"key": row.key, "cause": str(error)},
--- a/tests/platform_adapter/test_discovery.py
+++ b/tests/platform_adapter/test_discovery.py
@@ -4,7 +4,7 @@
 
 from gentianhoist.fleet import FeedRow, ServerState
 from gentianhoist.store import StoreVersion
-from gentianhoist_platform.discovery import ServerDecoder
+from gentianhoist_platform.discovery import ServerDecoder, is_older_server_row
 
 ROW = {
     "service": "desk",
@@ -38,3 +38,20 @@
         (again,) = decoder.decode([_row(StoreVersion(2, 5))], 60.0)
         assert again.server == first.server
         assert again.server.cold_until_s == 3.0
+
+
+class TestOtherWriters:
+    # Guards against: one row that is nested too deep ends the update of all servers.
+    def test_nested_row_names_no_server_and_the_others_hold(self):
+        version = StoreVersion(1, 7)
+        nested = b'{"sequence": %b}' % (b"[" * 1_500 + b"]" * 1_500)
+        skipped = b'{"other": %b}' % (b"[" * 30_000 + b"]" * 30_000)
+        rows = [
+            FeedRow("odd-1", nested, version),
+            FeedRow("odd-2", skipped, version),
+            _row(version),
+        ]
+        listings = ServerDecoder().decode(rows, 0.0)
+        assert [item.server is not None for item in listings] == [False, False, True]
+        assert not is_older_server_row(rows[0], rows[2])
+        assert not is_older_server_row(rows[2], rows[1])
