Refuse new streams in the last moments in which a stopping entry listens

Change: streams that arrive later than 2.9 s after the signal (chosen) get a 503 "not run"; requests without a stream are served as before.

Evidence: test_a_late_stream_is_refused (of what came with the change). This change is for streams that last longer than their counts let expect.

--- a/gentianhoist/dispatch/_context.py
+++ b/gentianhoist/dispatch/_context.py
@@ -71,13 +71,17 @@
         """Whether any coroutine of `run_in_background` hasn't ended."""
         return bool(self._background_tasks)
 
-    def begin_shutdown(self, remaining_s: float) -> None:
+    def begin_shutdown(
+        self, remaining_s: float, new_streams_s: float = float("inf")
+    ) -> None:
         """Answer all requests within a time, and refuse those that would last longer.
 
         Args:
             remaining_s: Seconds until all must have been answered.
+            new_streams_s: Seconds after which a new stream is refused.
         """
-        self.shutdown.begin(asyncio.get_running_loop().time() + remaining_s)
+        now_s = asyncio.get_running_loop().time()
+        self.shutdown.begin(now_s + remaining_s, now_s + new_streams_s)
         self.state.queue.end_by(self.clock.monotonic_s() + remaining_s)
         self.queue_scheduler.request_scan()
 
--- a/gentianhoist/dispatch/_shutdown.py
+++ b/gentianhoist/dispatch/_shutdown.py
@@ -25,6 +25,7 @@
 
     def __init__(self) -> None:
         self._end_s = _NEVER_S
+        self._last_stream_s = _NEVER_S
         self._timeouts: set[asyncio.Timeout] = set()
 
     @property
@@ -32,13 +33,15 @@
         """Whether the entry has been told to stop."""
         return self._end_s < _NEVER_S
 
-    def begin(self, end_s: float) -> None:
+    def begin(self, end_s: float, last_stream_s: float = _NEVER_S) -> None:
         """Bring the ends of all requests forward.
 
         Args:
             end_s: When all must have been answered, on the event loop's clock.
+            last_stream_s: When the last stream may arrive, on the event loop's clock.
         """
         self._end_s = end_s
+        self._last_stream_s = last_stream_s
         for timeout in self._timeouts:
             when_s = timeout.when()
             if not timeout.expired() and (when_s is None or when_s > end_s):
@@ -81,6 +84,18 @@
         if self.remaining_s(now_s) <= 0.0:
             raise self.error(may_have_run=False)
 
+    def raise_if_late_stream(self, received_s: float) -> None:
+        """Refuse a stream that may last longer than the entry.
+
+        Args:
+            received_s: When it arrived, on the event loop's clock.
+
+        Raises:
+            HoistError: If it arrived after the last stream that is served.
+        """
+        if received_s > self._last_stream_s:
+            raise self.error(may_have_run=False)
+
     def error(self, *, may_have_run: bool) -> HoistError:
         """The error for the caller of a request that the stop ends.
 
--- a/gentianhoist/dispatch/core.py
+++ b/gentianhoist/dispatch/core.py
@@ -72,6 +72,8 @@
                 retry_after_s=_RETRY_AFTER_S,
             )
         request = self._context.match(call, configuration)
+        if request.route.streaming:
+            self._context.shutdown.raise_if_late_stream(call.received_s)
         request.group_name = self._context.choose_group(request)
         self._context.state.retry_quota(request.group_name).deposit()
         return request
--- a/gentianhoist/gateway/_adapter.py
+++ b/gentianhoist/gateway/_adapter.py
@@ -46,6 +46,8 @@
         dispatch_policy: Retry, queue and placement policy of requests.
         drain_listen_s: Seconds after the stop signal in which new requests are served,
             because the load balancer needs time to notice that the entry drains.
+        drain_streams_s: Seconds after the stop signal in which new streams are served.
+            Those that arrive later might not end within the grace period.
         server_lease_s: Seconds without a heartbeat after which the store removes the
             row of a backend server.
     """
@@ -63,6 +65,7 @@
     servers_feed_policy: FollowPolicy
     dispatch_policy: DispatchPolicy
     drain_listen_s: float = 3.2
+    drain_streams_s: float = 2.9
     server_lease_s: float = 3.6
 
 
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -185,7 +185,7 @@
         self._draining = True
         self._caller_server.start_draining()
         answer_s = self._settings.grace_s - _ANSWER_MARGIN_S
-        self._dispatch.begin_shutdown(answer_s)
+        self._dispatch.begin_shutdown(answer_s, self._settings.drain_streams_s)
         self._log.record(
             "stopping",
             in_progress=self._caller_server.busy_connections,
--- a/tests/dispatch/test_shutdown.py
+++ b/tests/dispatch/test_shutdown.py
@@ -156,6 +156,25 @@
         assert responder.status == OUTCOME_UNKNOWN
         assert msgspec.json.decode(responder.body)["not_run"] == "unknown"
 
+    # Guards against: a stream that arrives late in the stop is begun and cut.
+    @pytest.mark.parametrize("streaming", [False, True])
+    def test_a_late_stream_is_refused(self, loop, streaming):
+        harness = make_harness(loop, ServerBehaviour.ANSWER, streaming=streaming)
+        tokens = SHORT_TOKENS if streaming else 0
+
+        async def serve_late() -> FakeResponder:
+            harness.context.begin_shutdown(TIMEOUT_S, new_streams_s=0.5)
+            await asyncio.sleep(0.6)
+            responder = FakeResponder()
+            request = call(loop, prompt_tokens=tokens, timeout_s=TIMEOUT_S)
+            await harness.dispatcher.handle(request, responder)
+            return responder
+
+        responder = loop.run(serve_late())
+        if streaming:
+            assert_refused_as_not_run(responder)
+        assert len(harness.server_state.runs) == (not streaming)
+
     # Guards against: a request is sent by an entry that is about to end.
     def test_a_request_after_the_end_is_refused(self, loop):
         harness = make_harness(loop, ServerBehaviour.ANSWER, streaming=False)
