Give tests ports that no outgoing connection takes

Cause: pytest-asyncio's fixture gives ports of the range from which the system takes those of outgoing connections.

Change: the fixture of the same name gives ports below that range.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,14 +1,21 @@
 """Fixtures and Hypothesis profiles shared by all tests."""
 
 import os
-from collections.abc import AsyncIterator
+import random
+import socket
+from collections.abc import AsyncIterator, Callable
 
 import aiohttp
+import pytest
 import pytest_asyncio
 from hypothesis import HealthCheck, settings
 
 from gentianhoist.demo import EmbeddedFleet
 
+# Below the ports that the system gives to outgoing connections, which could take one of
+# these before a test binds it.
+_PORTS = range(20_000, 32_000)
+
 _SUPPRESSED_CHECKS = [HealthCheck.too_slow, HealthCheck.function_scoped_fixture]
 
 settings.register_profile(
@@ -42,3 +49,33 @@
     """An HTTP client session shared by all tests."""
     async with aiohttp.ClientSession() as client:
         yield client
+
+
+@pytest.fixture
+def unused_tcp_port_factory() -> Callable[[], int]:
+    """Return a function that gives a TCP port which no process listens on."""
+    given_ports: set[int] = set()
+
+    def find_port() -> int:
+        while True:
+            port = random.choice(_PORTS)
+            if port not in given_ports and _is_free(port):
+                given_ports.add(port)
+                return port
+
+    return find_port
+
+
+@pytest.fixture
+def unused_tcp_port(unused_tcp_port_factory: Callable[[], int]) -> int:
+    """Return a TCP port which no process listens on."""
+    return unused_tcp_port_factory()
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind(("", port))
+        except OSError:
+            return False
+    return True
