Tell the end by a stop from the end by a deadline by their times

Cause: the event loop's timers have a resolution, so the time that a timeout ends may lie before its deadline, and the deadline's error was then taken for that of a stop. Found by reading the diff. Change: the stop ended a request if it comes before its deadline. Evidence: tests/dispatch pass (107).

--- a/gentianhoist/dispatch/_buffered_relay.py
+++ b/gentianhoist/dispatch/_buffered_relay.py
@@ -163,6 +163,7 @@
             raise self._rate_limit_error(wait_s) from None
 
     def _max_turn_wait_s(self) -> float:
+        """Seconds that leave time for the response, also if the entry stops."""
         loop_now_s = self._loop.time()
         stop_slack_s = (
             self._context.shutdown.remaining_s(loop_now_s) - self._request.route.goal_s
--- a/gentianhoist/dispatch/_shutdown.py
+++ b/gentianhoist/dispatch/_shutdown.py
@@ -28,6 +28,11 @@
         self._last_stream_s = _NEVER_S
         self._timeouts: set[asyncio.Timeout] = set()
 
+    @property
+    def end_s(self) -> float:
+        """When all requests must have been answered; infinite before a stop."""
+        return self._end_s
+
     @property
     def has_begun(self) -> bool:
         """Whether the entry has been told to stop."""
--- a/gentianhoist/dispatch/core.py
+++ b/gentianhoist/dispatch/core.py
@@ -95,7 +95,7 @@
         return error.kind.value
 
     def _timeout_error(self, request: Request) -> HoistError:
-        if request.remaining_s(asyncio.get_running_loop().time()) > 0.0:
+        if self._context.shutdown.end_s < request.deadline_s:
             return self._context.shutdown.error(may_have_run=request.may_have_run)
         if request.may_have_run:
             return HoistError(
