Answer a request that a draining connection has received but not parsed

Cause: since received bytes are parsed in slices, a request may wait there while the response before it is sent. A draining connection took itself for idle then, said that this response is its last and dropped the request.

Change: a connection isn't idle, and no response is its last, while received bytes wait.

Evidence: test_request_that_waits_to_be_parsed_is_answered fails before and passes now.

--- a/gentianhoist/http1/_server.py
+++ b/gentianhoist/http1/_server.py
@@ -73,7 +73,11 @@
 
         The next response is then the last one of the connection.
         """
-        return self._server.is_draining and not self._pending_requests
+        return (
+            self._server.is_draining
+            and not self._pending_requests
+            and self._input.is_empty
+        )
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -84,14 +88,19 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no headers are being read and no request is pending or in progress.
+        """Whether no request is known, and no received bytes may hold one.
 
         Also true while the body of the only request is being received.
         """
+        return not self._has_request and self._input.is_empty
+
+    @property
+    def _has_request(self) -> bool:
+        """Whether headers are being read, or a request is pending or in progress."""
         return (
-            self._handler_task is None
-            and not self._pending_requests
-            and not self._in_headers
+            self._handler_task is not None
+            or bool(self._pending_requests)
+            or self._in_headers
         )
 
     # Callbacks of the asyncio transport.
@@ -340,7 +349,7 @@
         if self.is_idle and self.is_draining:
             self.close()
             return
-        if self.is_idle:
+        if not self._has_request:
             self._start_timer(
                 self._server.limits().idle_timeout_s, self._on_idle_timeout
             )
--- a/tests/http1/test_server.py
+++ b/tests/http1/test_server.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gentianhoist.http1 import CallerRequest, HttpServer, Responder
+from gentianhoist.http1 import CallerRequest, HttpServer, Responder, _input
 from tests.http1.invalid_requests import INVALID_REQUESTS, LIMITS, VALID_GET
 
 
@@ -192,13 +192,21 @@
         assert response.endswith(b"\r\n\r\n")
 
 
+async def _let_held_turns_pass() -> None:
+    """Give the loop the turns that it lost if the process was held for a while."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
 class TestCallerDisconnects:
     async def test_close_cancels_the_request(self, recorder):
         _, writer = await asyncio.open_connection("127.0.0.1", recorder.port)
         writer.write(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
         await asyncio.sleep(0.05)
+        await _let_held_turns_pass()
         writer.close()
         await asyncio.sleep(0.05)
+        await _let_held_turns_pass()
         assert recorder.cancelled == 1
 
     async def test_half_close_cancels_the_request(self, recorder):
@@ -224,6 +232,21 @@
 
 
 class TestDraining:
+    # Guards against: a request that was received but not parsed yet is dropped.
+    async def test_request_that_waits_to_be_parsed_is_answered(
+        self, recorder, monkeypatch
+    ):
+        # Each slice takes a turn of its own, so that the second request is parsed after
+        # the response to the first one.
+        monkeypatch.setattr(_input, "_MAX_TURN_S", 0.0)
+        monkeypatch.setattr(_input, "_SLICE_BYTES", 1_024)
+        body = b"x" * 8_000
+        large = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % len(body)
+        recorder.http_server.start_draining()
+        response = await _exchange(recorder, VALID_GET + large + body)
+        assert response.count(b"HTTP/1.1 200 ") == 2
+        assert response.count(b"Connection: close") == 1
+
     async def test_open_connection_serves_one_more_request_and_closes(self, recorder):
         reader, writer = await asyncio.open_connection("127.0.0.1", recorder.port)
         writer.write(VALID_GET)
