Spread the repeats of requests that the stop of an entry ends

Cause: the end of a stop refuses all that wait at one moment, each with a Retry-After of 0.2 s, so that all came back at one moment too. Found by reading the diff.

Evidence: test_callers_come_back_at_different_times fails before and passes now.

--- a/gentianhoist/dispatch/_context.py
+++ b/gentianhoist/dispatch/_context.py
@@ -63,7 +63,7 @@
         self.retry_quotas = QuotaExchange(
             state.retry_quota, peers, clock, log, state.rng
         )
-        self.shutdown = Shutdown()
+        self.shutdown = Shutdown(state.rng)
         self._background_tasks: set[asyncio.Task[None]] = set()
 
     @property
--- a/gentianhoist/dispatch/_shutdown.py
+++ b/gentianhoist/dispatch/_shutdown.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager
 
@@ -10,7 +11,7 @@
 
 __all__ = ["Shutdown"]
 
-# Other entries take the request at once.
+# Mean time after which a caller comes back; other entries take its request at once.
 _RETRY_AFTER_S = 0.2
 _NEVER_S = float("inf")
 
@@ -21,9 +22,13 @@
     A request may wait in many places: for the tables, the quarantine, an engine, a KV
     cache reservation, a rate limit, a connection, a retry or a response. One limit on
     all of its work ends the wait in each of them.
+
+    Args:
+        rng: Source of randomness.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
         self._end_s = _NEVER_S
         self._last_stream_s = _NEVER_S
         self._timeouts: set[asyncio.Timeout] = set()
@@ -111,6 +116,8 @@
             return HoistError(
                 ErrorKind.OUTCOME_UNKNOWN, "the entry stops before the server responded"
             )
+        # All that wait end at the same moment, and must not come back at one.
+        retry_after_s = _RETRY_AFTER_S * (0.5 + self._rng.random())
         return HoistError(
-            ErrorKind.LEAVING, "the entry stops", retry_after_s=_RETRY_AFTER_S
+            ErrorKind.LEAVING, "the entry stops", retry_after_s=retry_after_s
         )
--- a/tests/dispatch/test_shutdown.py
+++ b/tests/dispatch/test_shutdown.py
@@ -128,6 +128,13 @@
         (responder,) = loop.run(serve_until_stop(harness))
         assert_refused_as_not_run(responder)
 
+    # Guards against: all requests that the stop ends are repeated at the same moment.
+    def test_callers_come_back_at_different_times(self, loop):
+        harness = make_harness(loop, streaming=False)
+        harness.quarantine.admit = wait_forever
+        responders = loop.run(serve_until_stop(harness, 5))
+        assert len({item.headers[b"Retry-After"] for item in responders}) == 5
+
     # Guards against: a request is dropped while the quarantine decides on it.
     def test_a_request_that_waits_for_the_quarantine_is_refused(self, loop):
         harness = make_harness(loop, streaming=False)
