Shorten an unreadable rate limit for the log

Cause: the whole text of the header went into the log, up to 64 KiB a response; an unreadable pause is cut to 64 characters already. Found by reading for what a server's bytes cost.

Evidence: test_long_text_is_shortened fails before and passes now.

--- a/gentianhoist/ratelimits/_notice.py
+++ b/gentianhoist/ratelimits/_notice.py
@@ -15,6 +15,10 @@
 ]
 
 
+# Characters of an unreadable value that are kept for the log.
+_MAX_TEXT = 64
+
+
 @dataclass(frozen=True)
 class LimitNamed:
     """The response names a limit.
@@ -37,7 +41,7 @@
     """The response names something that isn't a limit.
 
     Attributes:
-        text: What it names.
+        text: The beginning of what it names.
     """
 
     text: str
@@ -62,5 +66,5 @@
         return NoLimitNamed()
     requests_per_s = parse_decimal(text)
     if requests_per_s is None:
-        return LimitUnreadable(text)
+        return LimitUnreadable(text[:_MAX_TEXT])
     return LimitNamed(requests_per_s)
--- a/tests/ratelimits/test_core.py
+++ b/tests/ratelimits/test_core.py
@@ -201,6 +201,10 @@
     def test_what_is_no_limit_is_unreadable(self, text):
         assert parse_rate_limit(text) == LimitUnreadable(text)
 
+    # Guards against: log lines of any length.
+    def test_long_text_is_shortened(self):
+        assert len(parse_rate_limit("x" * 60_000).text) < 100
+
     def test_a_server_that_starts_again_has_no_limit(self):
         limits = RateLimits("10.0.0.1")
         limits.observe(SERVER, LimitNamed(2.0), 1.0, 2.0)
