Measure the time of event reading without the heap of earlier tests

The fixture heap_of_its_own keeps the objects of earlier tests from the collector; the bound is unchanged, and the monitor of turns uses the same fixture.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,9 +1,10 @@
 """Fixtures and Hypothesis profiles shared by all tests."""
 
+import gc
 import os
 import random
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 
 import aiohttp
 import pytest
@@ -51,6 +52,18 @@
         yield client
 
 
+@pytest.fixture
+def heap_of_its_own() -> Iterator[None]:
+    """Keep the objects of earlier tests from the garbage collector.
+
+    To visit them all takes longer than what some tests measure, and no entry has them.
+    """
+    gc.collect()
+    gc.freeze()
+    yield
+    gc.unfreeze()
+
+
 @pytest.fixture
 def unused_tcp_port_factory() -> Callable[[], int]:
     """Return a function that gives a TCP port which no process listens on."""
--- a/tests/dispatch/test_events.py
+++ b/tests/dispatch/test_events.py
@@ -22,6 +22,7 @@
     return [*parts, data]
 
 
+@pytest.mark.usefixtures("heap_of_its_own")
 class TestEventReader:
     @given(EVENTS, st.lists(st.integers(0, 9), max_size=40), st.binary(max_size=3))
     def test_parts_of_any_size_give_the_same_events(self, events, sizes, rest):
--- a/tests/http1/test_endless_input.py
+++ b/tests/http1/test_endless_input.py
@@ -19,7 +19,7 @@
 
 
 @pytest.fixture
-async def monitor():
+async def monitor(heap_of_its_own):
     instance = TurnMonitor()
     yield instance
     instance.close()
--- a/tests/platform_adapter/test_answers.py
+++ b/tests/platform_adapter/test_answers.py
@@ -69,6 +69,7 @@
             assert (status, body) == (200, STREAM)
 
     # Guards against: such lines keep the entry from all other requests for seconds.
+    @pytest.mark.usefixtures("heap_of_its_own")
     @pytest.mark.parametrize("begin", [b"", STREAM[:20]])
     @pytest.mark.parametrize("repeated", [b"\n" * 65_536, b":\n\n" * 20_000])
     async def test_other_requests_are_served_meanwhile(
--- a/tests/turn_monitor.py
+++ b/tests/turn_monitor.py
@@ -1,7 +1,6 @@
 """Measures for how long other tasks wait for their turn of the event loop."""
 
 import asyncio
-import gc
 import time
 
 # Events of other callers have to be passed on within this time.
@@ -11,14 +10,11 @@
 class TurnMonitor:
     """Measures the processor time of the longest turn of the event loop.
 
-    The objects of the tests before are kept from the garbage collector meanwhile: to
-    visit them all takes longer than any turn, and no entry has them.
+    Use it with the fixture `heap_of_its_own`.
     """
 
     def __init__(self) -> None:
         self.longest_s = 0.0
-        gc.collect()
-        gc.freeze()
         self._task = asyncio.ensure_future(self._measure())
 
     async def _measure(self) -> None:
@@ -29,4 +25,3 @@
 
     def close(self) -> None:
         self._task.cancel()
-        gc.unfreeze()
