Wait for crashed engines before prompts that need all of them

Cause, by a trace of placements, crashes and restarts (scratch copy, the test in 10 loops at once): each prompt of 300,000 tokens takes two engines, so the three clean prompts of a round need all six. The last crashing prompts before the hold take engines away for 0.3 s; the round came sooner, an entry found 3 of 6 engines, and refused truly ("not run"), as no placement could be in time any more. The product is right, the check asked for more than the engines that were there.

Change: between hold and rounds, the test waits until all servers run and all entries know their present incarnations. Number of rounds, the 200s and the bound of prompts that reach engines stay, and the bound also counts the time of the wait.

--- a/tests/platform_adapter/test_quarantine.py
+++ b/tests/platform_adapter/test_quarantine.py
@@ -116,6 +116,15 @@
     return list(fleet.gateways.values())
 
 
+def are_servers_back(fleet) -> bool:
+    """Whether all servers run, and all entries know their present incarnations."""
+    return all(server.is_running for server in fleet.servers.values()) and all(
+        gateway._state.directory.servers[id_].started_ms == server.started_ms
+        for gateway in entries(fleet)
+        for id_, server in fleet.servers.items()
+    )
+
+
 def stored_segments(fleet) -> list[str]:
     """Segments with a record in the store; contents of requests may have one too."""
     keys = fleet.store.keys("quarantine")
@@ -141,6 +150,8 @@
         tokens = "300000,100"
         await hold(fleet, CRASHING, tokens=tokens)
         before = arrivals(fleet, CRASHING)
+        # Each takes two engines, so the clean prompts of a round need all six.
+        await fleet.wait_until(lambda: are_servers_back(fleet))
         assert await send_rounds(fleet, 4, CRASHING, tokens=tokens) == [200] * 12
         assert arrivals(fleet, CRASHING) - before <= MAX_LATER_PROMPTS
 
