--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,7 @@
 from hypothesis import HealthCheck, settings
 
 from gentianhoist.demo import EmbeddedFleet
+from tests.virtual_time_loop import VirtualTimeLoop
 
 # Below the ports that the system gives to outgoing connections, which could take one of
 # these before a test binds it.
@@ -52,6 +53,14 @@
         yield client
 
 
+@pytest.fixture
+def loop() -> Iterator[VirtualTimeLoop]:
+    """An event loop whose clock advances without waiting."""
+    virtual_time_loop = VirtualTimeLoop()
+    yield virtual_time_loop
+    virtual_time_loop.cancel_and_close()
+
+
 @pytest.fixture
 def heap_of_its_own() -> Iterator[None]:
     """Keep the objects of earlier tests from the garbage collector.
--- a/tests/dispatch/test_candidates.py
+++ b/tests/dispatch/test_candidates.py
@@ -2,8 +2,6 @@
 
 import itertools
 
-import pytest
-
 from gentianhoist.dispatch._candidates import Candidates
 from gentianhoist.fleet import Idempotency
 from tests.dispatch.fakes import DispatcherHarness, call, configuration
@@ -12,13 +10,6 @@
 PAUSE_S = 1.0
 
 
-@pytest.fixture
-def loop():
-    instance = VirtualTimeLoop()
-    yield instance
-    instance.cancel_and_close()
-
-
 def _candidates(harness: DispatcherHarness, loop: VirtualTimeLoop) -> Candidates:
     current = configuration(Idempotency.IDEMPOTENT, streaming=False)
     harness.state.routing.update_if_newer(current)
--- a/tests/dispatch/test_context.py
+++ b/tests/dispatch/test_context.py
@@ -2,18 +2,8 @@
 
 import itertools
 
-import pytest
-
 from gentianhoist.fleet import Idempotency
 from tests.dispatch.fakes import DispatcherHarness, call, configuration
-from tests.virtual_time_loop import VirtualTimeLoop
-
-
-@pytest.fixture
-def loop():
-    instance = VirtualTimeLoop()
-    yield instance
-    instance.cancel_and_close()
 
 
 def test_configuration_that_got_the_same_version_after_a_restore_is_checked(loop):
--- a/tests/dispatch/test_multi_engine_prefill.py
+++ b/tests/dispatch/test_multi_engine_prefill.py
@@ -3,8 +3,6 @@
 import asyncio
 import itertools
 
-import pytest
-
 from gentianhoist.fleet import Idempotency
 from tests.dispatch.fakes import (
     DispatcherHarness,
@@ -13,7 +11,6 @@
     call,
     configuration,
 )
-from tests.virtual_time_loop import VirtualTimeLoop
 
 # Longest time that engines may hold KV cache after the decode engine failed.
 MAX_RESERVATION_RELEASE_S = 4.0
@@ -28,12 +25,6 @@
     takes seconds, so a response timeout alone detects the failure too late.
     """
 
-    @pytest.fixture
-    def loop(self):
-        instance = VirtualTimeLoop()
-        yield instance
-        instance.cancel_and_close()
-
     def _serve(self, loop, script, goal_s=5.0):
         harness = DispatcherHarness(loop, itertools.cycle(script), servers=8)
         harness.state.routing.update_if_newer(
--- a/tests/dispatch/test_quarantine.py
+++ b/tests/dispatch/test_quarantine.py
@@ -17,7 +17,6 @@
     call,
     configuration,
 )
-from tests.virtual_time_loop import VirtualTimeLoop
 
 # Its trial is due from the start.
 HELD = QuarantineRecord("dd", QuarantineState.HELD, 1, 0, 0)
@@ -30,13 +29,6 @@
         return None
 
 
-@pytest.fixture
-def loop():
-    virtual_loop = VirtualTimeLoop()
-    yield virtual_loop
-    virtual_loop.cancel_and_close()
-
-
 def make_harness(loop, *script: ServerBehaviour, idempotent: bool = True):
     harness = DispatcherHarness(loop, itertools.cycle(script))
     idempotency = Idempotency.IDEMPOTENT if idempotent else Idempotency.NON_IDEMPOTENT
--- a/tests/dispatch/test_queue_scheduler.py
+++ b/tests/dispatch/test_queue_scheduler.py
@@ -2,7 +2,6 @@
 
 import asyncio
 
-import pytest
 import uvloop
 
 from gentianhoist.clocks import SystemClock
@@ -29,13 +28,6 @@
         return self.used_s
 
 
-@pytest.fixture
-def loop():
-    instance = VirtualTimeLoop()
-    yield instance
-    instance.cancel_and_close()
-
-
 async def _flood(scheduler: QueueScanScheduler, changes: int, every_s: float) -> None:
     for _ in range(changes):
         scheduler.request_scan()
--- a/tests/dispatch/test_rate_limits.py
+++ b/tests/dispatch/test_rate_limits.py
@@ -5,8 +5,6 @@
 import random
 from typing import NamedTuple
 
-import pytest
-
 from gentianhoist.fleet import Idempotency
 from gentianhoist.ratelimits import LimitNamed
 from tests.dispatch.fakes import (
@@ -16,7 +14,6 @@
     call,
     configuration,
 )
-from tests.virtual_time_loop import VirtualTimeLoop
 
 SHORT_TOKENS = 5_000
 LONG_TOKENS = 60_000
@@ -31,13 +28,6 @@
     retry_after_s: float
 
 
-@pytest.fixture
-def loop():
-    instance = VirtualTimeLoop()
-    yield instance
-    instance.cancel_and_close()
-
-
 def make_harness(
     loop,
     limits_per_s: list[float | None],
--- a/tests/dispatch/test_shutdown.py
+++ b/tests/dispatch/test_shutdown.py
@@ -15,7 +15,6 @@
     call,
     configuration,
 )
-from tests.virtual_time_loop import VirtualTimeLoop
 
 STOP_S = 1.0
 TIMEOUT_S = 20.0
@@ -27,13 +26,6 @@
 OUTCOME_UNKNOWN = 504
 
 
-@pytest.fixture
-def loop():
-    instance = VirtualTimeLoop()
-    yield instance
-    instance.cancel_and_close()
-
-
 def make_harness(
     loop,
     behaviour: ServerBehaviour = ServerBehaviour.SILENT_RUN,
--- a/tests/dispatch/test_silent_engines.py
+++ b/tests/dispatch/test_silent_engines.py
@@ -2,8 +2,6 @@
 
 import itertools
 
-import pytest
-
 from gentianhoist.fleet import Idempotency
 from tests.dispatch.fakes import (
     DispatcherHarness,
@@ -12,7 +10,6 @@
     call,
     configuration,
 )
-from tests.virtual_time_loop import VirtualTimeLoop
 
 SHORT_TOKENS = 5_000
 TIMEOUT_S = 20.0
@@ -22,13 +19,6 @@
 ABANDONED_WITHIN_S = 2.0
 
 
-@pytest.fixture
-def loop():
-    instance = VirtualTimeLoop()
-    yield instance
-    instance.cancel_and_close()
-
-
 async def serve(
     loop, behaviours: list[ServerBehaviour], servers: int
 ) -> tuple[DispatcherHarness, FakeResponder]:
--- a/tests/entry/test_configuration_manager.py
+++ b/tests/entry/test_configuration_manager.py
@@ -57,13 +57,6 @@
         return [record.change_id for record in self.replica.records]
 
 
-@pytest.fixture
-def loop():
-    instance = VirtualTimeLoop()
-    yield instance
-    instance.cancel_and_close()
-
-
 @pytest.fixture
 def model() -> TableModel:
     return TableModel()
--- a/tests/entry/test_quarantine.py
+++ b/tests/entry/test_quarantine.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import pytest
-
 from gentianhoist.clocks import HybridClock
 from gentianhoist.entry._jobs import CompletionJob
 from gentianhoist.entry._quarantine import JobQuarantine, call_keys, job_keys
@@ -13,7 +11,6 @@
 from gentianhoist.store import ConditionFailed, Row, StoreUnavailable
 from gentianhoist.telemetry import Metrics
 from gentianhoist.wire import CallRequest, Stamp
-from tests.virtual_time_loop import VirtualTimeLoop
 
 KEYS = ("p1", "request:c1")
 
@@ -45,13 +42,6 @@
         return [row for key, row in self.rows.items() if key.startswith(prefix)]
 
 
-@pytest.fixture
-def loop():
-    virtual_loop = VirtualTimeLoop()
-    yield virtual_loop
-    virtual_loop.cancel_and_close()
-
-
 def make_entry(loop, table: FakeTable) -> JobQuarantine:
     events = EventRing(HybridClock(loop), "entry", "zone-a")
     return JobQuarantine(table, loop, events, Metrics(), lambda: None)
--- a/tests/fleet/test_table_copy.py
+++ b/tests/fleet/test_table_copy.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import pytest
-
 from gentianhoist.fleet import (
     FeedPage,
     FeedRow,
@@ -14,7 +12,6 @@
 )
 from gentianhoist.store import StoreUnavailable, StoreVersion
 from gentianhoist.telemetry import DecisionLog
-from tests.virtual_time_loop import VirtualTimeLoop
 
 
 def _page(number: int, history: int = 1) -> FeedPage:
@@ -59,13 +56,6 @@
         return []
 
 
-@pytest.fixture
-def loop():
-    instance = VirtualTimeLoop()
-    yield instance
-    instance.cancel_and_close()
-
-
 def _follow(loop, peers, returns_s: float) -> tuple[list[bytes], list[float]]:
     applied: list[bytes] = []
     regained: list[float] = []
--- a/tests/fleet/test_table_follower.py
+++ b/tests/fleet/test_table_follower.py
@@ -2,8 +2,6 @@
 
 import asyncio
 
-import pytest
-
 from gentianhoist.fleet import (
     FeedPage,
     FeedRow,
@@ -45,13 +43,6 @@
         return FeedPage(rows, self.version)
 
 
-@pytest.fixture
-def loop():
-    instance = VirtualTimeLoop()
-    yield instance
-    instance.cancel_and_close()
-
-
 def _follow(
     loop: VirtualTimeLoop, table: FakeTable, seconds: float, apply_rows
 ) -> None:
--- a/tests/quarantine/test_service.py
+++ b/tests/quarantine/test_service.py
@@ -116,13 +116,6 @@
         self.quarantine.replace_rows(self.rows.rows.values())
 
 
-@pytest.fixture
-def loop():
-    virtual_loop = VirtualTimeLoop()
-    yield virtual_loop
-    virtual_loop.cancel_and_close()
-
-
 def run(loop: VirtualTimeLoop, scenario, entries: int = 1) -> None:
     async def main() -> None:
         rows = FakeRows()
--- a/tests/quotas/test_exchange.py
+++ b/tests/quotas/test_exchange.py
@@ -3,8 +3,6 @@
 import asyncio
 import random
 
-import pytest
-
 from gentianhoist.quotas import Loan, LoanRequest, QuotaExchange, SharedQuota
 from gentianhoist.telemetry import DecisionLog
 from tests.virtual_time_loop import VirtualTimeLoop
@@ -12,13 +10,6 @@
 DELAY_S = 0.003
 
 
-@pytest.fixture
-def loop():
-    instance = VirtualTimeLoop()
-    yield instance
-    instance.cancel_and_close()
-
-
 class Network:
     """Entries that reach each other after a delay, unless they are cut off."""
 
