Log the responses that no request reads

`server_answered` and `stream_served` said nothing of what else the connection carried, so that the hypotheses on the mixed response could not be told apart.

`response_dropped` tells of each response that is not passed on, where it was and whether it names the request that waits; the lines of served requests tell the framing of the body, the requests sent on the connection and what looks like a head inside the body. The counter `entry_dropped_responses` shows the same over time.

--- a/gentianhoist/dispatch/_attempt.py
+++ b/gentianhoist/dispatch/_attempt.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 from gentianhoist.backoff import PauseNamed
 from gentianhoist.dispatch._interfaces import (
@@ -20,13 +21,16 @@
     ClientConnection,
     ConnectionFailed,
     ConnectionPool,
+    DroppedResponse,
+    DropPosition,
 )
 
-__all__ = ["Attempt", "AttemptFailed", "Execution", "StreamProgress"]
-
+__all__ = ["Attempt", "AttemptFailed", "Execution", "ResponseTrace", "StreamProgress"]
 
 # Limit of a body that is buffered; streams are passed on event by event.
 _MAX_BODY_BYTES = 8 * 1024 * 1024
+# Begin of a response head, which no server's body holds.
+_HEAD_BEGIN = b"HTTP/1.1 "
 
 
 class Execution(Enum):
@@ -95,6 +99,20 @@
         return 0.0 if self.first_event_s is None else now_s - self.first_event_s
 
 
+class ResponseTrace(NamedTuple):
+    """Where on its connection a response was read, for the log.
+
+    Attributes:
+        framing: How the end of the body was found.
+        connection_requests: Number of requests sent on the connection so far.
+        heads_in_body: Number of response heads that seem to begin in the body.
+    """
+
+    framing: str
+    connection_requests: int
+    heads_in_body: int
+
+
 class Attempt:
     """One attempt at a request, on one connection to one backend server.
 
@@ -104,6 +122,7 @@
         pool: Connections to the server.
         codec: Decodes the response.
         on_response: Called with each response head of the server, usable or not.
+        on_dropped: Called with each response on the connection that isn't passed on.
     """
 
     def __init__(
@@ -113,14 +132,26 @@
         pool: ConnectionPool,
         codec: ServerCodec,
         on_response: Callable[[ServerResponse], None],
+        on_dropped: Callable[[DroppedResponse], None],
     ) -> None:
         self._call = call
         self._server = server
         self._pool = pool
         self._codec = codec
         self._on_response = on_response
+        self._on_dropped = on_dropped
         self._lease: AcquiredConnection | None = None
         self._complete = False
+        self._heads_in_body = 0
+
+    @property
+    def trace(self) -> ResponseTrace:
+        """Where the response was read; only between `send` and `close`."""
+        return ResponseTrace(
+            self._connection.framing.value,
+            self._connection.sent_requests,
+            self._heads_in_body,
+        )
 
     @property
     def server(self) -> BackendServer:
@@ -160,7 +191,11 @@
                 Execution.UNSENT, "connection closed before the request was sent"
             )
         try:
-            self._connection.send(encode(), head_only=self._call.method == b"HEAD")
+            self._connection.send(
+                encode(),
+                head_only=self._call.method == b"HEAD",
+                on_dropped=self._on_dropped,
+            )
         except ConnectionFailed as error:
             self.close()
             raise AttemptFailed(Execution.UNSENT, str(error)) from error
@@ -233,6 +268,7 @@
             raise AttemptFailed(
                 Execution.UNKNOWN, str(error), connection_lost=True
             ) from error
+        self._heads_in_body += data.count(_HEAD_BEGIN)
         if not data:
             self._complete = True
         return data
@@ -267,4 +303,5 @@
                 self._on_response(response)
                 return response
             self._connection.skip_response()
+            self._on_dropped(DroppedResponse(head, DropPosition.BEFORE))
             is_first_response = False
--- a/gentianhoist/dispatch/_buffered_relay.py
+++ b/gentianhoist/dispatch/_buffered_relay.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import NamedTuple
 
-from gentianhoist.dispatch._attempt import AttemptFailed, Execution
+from gentianhoist.dispatch._attempt import AttemptFailed, Execution, ResponseTrace
 from gentianhoist.dispatch._context import DispatchContext
 from gentianhoist.dispatch._interfaces import SendOptions, ServerResponse
 from gentianhoist.dispatch._request import Request
@@ -32,6 +32,7 @@
 class _CompleteResponse(NamedTuple):
     response: ServerResponse
     body: bytes
+    trace: ResponseTrace
 
 
 class _Chosen(NamedTuple):
@@ -213,7 +214,8 @@
             response = await self.await_response(
                 attempt, wait_deadline_s, self._response_timeout_s
             )
-            complete = _CompleteResponse(response, await attempt.read_body())
+            body = await attempt.read_body()
+            complete = _CompleteResponse(response, body, attempt.trace)
         finally:
             self.finish(attempt)
         elapsed_s = self._loop.time() - sent_s
@@ -260,6 +262,8 @@
             sends=self._request.sends,
             content=self._request.call.content_key,
             configuration=self._request.configuration_version,
+            body_bytes=len(complete.body),
+            **complete.trace._asdict(),
         )
 
     async def _try_begin_error_retry(
--- a/gentianhoist/dispatch/_sender.py
+++ b/gentianhoist/dispatch/_sender.py
@@ -15,6 +15,7 @@
 from gentianhoist.dispatch._candidates import Candidates
 from gentianhoist.dispatch._context import DispatchContext
 from gentianhoist.dispatch._interfaces import (
+    ResponseValidity,
     SendOptions,
     ServerResponse,
 )
@@ -27,7 +28,7 @@
 )
 from gentianhoist.exceptions import ErrorKind, HoistError
 from gentianhoist.fleet import BackendServer, ServerGroup
-from gentianhoist.http1 import Responder
+from gentianhoist.http1 import DroppedResponse, Responder
 from gentianhoist.quarantine import Refused, TrialResult, refusal_error
 from gentianhoist.ratelimits import SendPermit
 
@@ -130,6 +131,7 @@
             self._state.pool(server, self.group),
             self._context.codec,
             lambda response: self._observe_response(server, response, sent_s),
+            lambda dropped: self._log_dropped(server, dropped),
         )
 
         def encode() -> bytes:
@@ -167,6 +169,25 @@
                 request_id, server, response.rate_limit, sent_s
             )
 
+    def _log_dropped(self, server: BackendServer, dropped: DroppedResponse) -> None:
+        """Log a response on the connection of the request that isn't passed on."""
+        call = self._request.call
+        response = self._context.codec.decode(
+            dropped.head, call, is_first_response=False
+        )
+        names_request = response.validity is not ResponseValidity.OTHER_REQUEST
+        self._context.metrics.record_dropped_response(
+            dropped.position.name.lower(), names_request=names_request
+        )
+        self._context.log.record(
+            "response_dropped",
+            call.id,
+            server=server.id,
+            position=dropped.position.name.lower(),
+            status=dropped.head.status,
+            names_request=names_request,
+        )
+
     def finish(self, attempt: Attempt) -> None:
         """End an attempt that sent the request: release its connection and load."""
         attempt.close()
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -9,6 +9,7 @@
     Attempt,
     AttemptFailed,
     Execution,
+    ResponseTrace,
     StreamProgress,
 )
 from gentianhoist.dispatch._context import DispatchContext
@@ -126,11 +127,12 @@
             if response.status != _OK:
                 return await self._retry_or_forward_error(attempt, response)
             await self._relay(attempt, response, reserved, sent_s, wait_deadline_s)
+            trace = attempt.trace
         finally:
             reserved.on_decode_engine_lost = None
             self.finish(attempt)
         self._responder.end_chunked()
-        self._log_served(reserved)
+        self._log_served(reserved, trace)
         self._quarantine.report_completed(
             self._request.call.quarantine_keys,
             self._sent_clock_s,
@@ -299,7 +301,7 @@
         self._responder.abort()
         return "broken_off"
 
-    def _log_served(self, reserved: ReservedPlacement) -> None:
+    def _log_served(self, reserved: ReservedPlacement, trace: ResponseTrace) -> None:
         self._context.log.record(
             "stream_served",
             self._request.call.id,
@@ -313,6 +315,7 @@
             content=self._request.call.content_key,
             sends=self._request.sends,
             configuration=self._request.configuration_version,
+            **trace._asdict(),
         )
 
 
--- a/gentianhoist/http1/__init__.py
+++ b/gentianhoist/http1/__init__.py
@@ -6,7 +6,10 @@
 from gentianhoist.http1._client import (
     ClientConnection,
     ConnectionFailed,
+    DroppedResponse,
+    DropPosition,
     PoolExhausted,
+    ResponseFraming,
     ResponseHead,
 )
 from gentianhoist.http1._decimals import parse_decimal
@@ -21,6 +24,8 @@
     "ClientConnection",
     "ConnectionFailed",
     "ConnectionPool",
+    "DropPosition",
+    "DroppedResponse",
     "Headers",
     "HttpServer",
     "AcquiredConnection",
@@ -28,6 +33,7 @@
     "PoolLimits",
     "RequestLimits",
     "Responder",
+    "ResponseFraming",
     "ResponseHead",
     "BufferedResponse",
     "encode_request",
--- a/gentianhoist/http1/_client.py
+++ b/gentianhoist/http1/_client.py
@@ -10,6 +10,8 @@
 import asyncio
 import socket
 from collections import deque
+from collections.abc import Callable
+from enum import Enum
 from typing import NamedTuple, cast
 
 import httptools
@@ -17,7 +19,14 @@
 from gentianhoist.http1._input import SlicedInput
 from gentianhoist.http1.core import Headers, get_header
 
-__all__ = ["ClientConnection", "ConnectionFailed", "ResponseHead"]
+__all__ = [
+    "ClientConnection",
+    "ConnectionFailed",
+    "DroppedResponse",
+    "DropPosition",
+    "ResponseFraming",
+    "ResponseHead",
+]
 
 _MAX_BUFFERED_BYTES = 256 * 1024
 # Bytes of heads, chunk framing and trailers since the last byte of a body.
@@ -69,6 +78,38 @@
         )
 
 
+class ResponseFraming(Enum):
+    """How the end of a response's body is found."""
+
+    NO_BODY = "no body"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
+class DropPosition(Enum):
+    """Where on a connection a response was that no request reads."""
+
+    BEFORE = "before the response to the request"
+    AFTER = "after the response to the request"
+
+
+class DroppedResponse(NamedTuple):
+    """A response that was received and that no request reads.
+
+    Attributes:
+        head: Status and headers.
+        position: Where it was, as seen from the request that was sent last.
+    """
+
+    head: ResponseHead
+    position: DropPosition
+
+
+def _ignore_dropped(dropped: DroppedResponse) -> None:
+    return None
+
+
 class _HeadEvent(NamedTuple):
     head: ResponseHead
 
@@ -109,6 +150,9 @@
         self._buffered_bytes = 0
         self._overhead_bytes = 0
         self._reuse_forbidden = False
+        self._on_dropped: Callable[[DroppedResponse], None] = _ignore_dropped
+        self._sent_requests = 0
+        self._framing = ResponseFraming.NO_BODY
         self.keep_alive_s: float | None = None
         self.idle_since_s = 0.0
 
@@ -150,12 +194,29 @@
             and self._input.is_empty
         )
 
-    def send(self, data: bytes, *, head_only: bool = False) -> None:
+    @property
+    def sent_requests(self) -> int:
+        """Number of requests that were sent on the connection."""
+        return self._sent_requests
+
+    @property
+    def framing(self) -> ResponseFraming:
+        """How the end of the body is found, of the response that was read last."""
+        return self._framing
+
+    def send(
+        self,
+        data: bytes,
+        *,
+        head_only: bool = False,
+        on_dropped: Callable[[DroppedResponse], None] = _ignore_dropped,
+    ) -> None:
         """Send a complete request.
 
         Args:
             data: The encoded request.
             head_only: Whether the method is HEAD, whose response has no body.
+            on_dropped: Called with each response that is dropped from now on.
 
         Raises:
             ConnectionFailed: If the connection has already ended.
@@ -166,7 +227,9 @@
             )
         self._pending_responses = 1
         self._request_sent = True
+        self._sent_requests += 1
         self._head_only = head_only
+        self._on_dropped = on_dropped
         self._transport.write(data)
 
     async def read_head(self) -> ResponseHead:
@@ -286,21 +349,21 @@
     def on_headers_complete(self) -> None:
         self._in_headers = False
         status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS or not self._pending_responses:
+        if status < _FIRST_FINAL_STATUS:
             return
-        self._overhead_bytes = 0
         head = ResponseHead(status, self._headers)
+        if not self._pending_responses:
+            self._on_dropped(DroppedResponse(head, DropPosition.AFTER))
+            return
+        self._overhead_bytes = 0
         self._apply_keep_alive(head)
         self._enqueue(_HeadEvent(head))
         if self._head_only:
             self._reuse_forbidden = True
             self._complete_response()
             return
-        self._body_ends_at_close = not (
-            status in {_NO_CONTENT, _NOT_MODIFIED}
-            or head.get_header(b"content-length") is not None
-            or head.get_header(b"transfer-encoding") is not None
-        )
+        self._framing = _framing(head)
+        self._body_ends_at_close = self._framing is ResponseFraming.CLOSE
 
     def on_body(self, data: bytes) -> None:
         if not self._pending_responses:
@@ -383,3 +446,13 @@
             socket.TCP_USER_TIMEOUT,
             int(unacknowledged_timeout_s * 1000),
         )
+
+
+def _framing(head: ResponseHead) -> ResponseFraming:
+    if head.status in {_NO_CONTENT, _NOT_MODIFIED}:
+        return ResponseFraming.NO_BODY
+    if head.get_header(b"transfer-encoding") is not None:
+        return ResponseFraming.CHUNKED
+    if head.get_header(b"content-length") is not None:
+        return ResponseFraming.LENGTH
+    return ResponseFraming.CLOSE
--- a/gentianhoist/telemetry/_exposition.py
+++ b/gentianhoist/telemetry/_exposition.py
@@ -81,6 +81,13 @@
             "Contents of requests that are held or tried because they crash servers.",
             registry=registry,
         )
+        self._dropped_responses = Counter(
+            "entry_dropped_responses",
+            "Responses of servers that no request reads, by their position on the "
+            "connection and whether they name the request that was sent last.",
+            ["position", "names_request"],
+            registry=registry,
+        )
         self._dropped_lines = Gauge(
             "entry_log_lines_dropped", "Log lines dropped.", registry=registry
         )
@@ -118,6 +125,15 @@
         """
         self._lost_engines.labels(str(is_down).lower()).inc()
 
+    def record_dropped_response(self, position: str, *, names_request: bool) -> None:
+        """Count a response of a backend server that is not passed on.
+
+        Args:
+            position: Where it was on its connection.
+            names_request: Whether it names the request that was sent last.
+        """
+        self._dropped_responses.labels(position, str(names_request).lower()).inc()
+
     def record_pause(self) -> None:
         """Count a refusal in which a backend server named a pause."""
         self._server_pauses.inc()
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -32,7 +32,9 @@
 from gentianhoist.http1 import (
     AcquiredConnection,
     ConnectionFailed,
+    DroppedResponse,
     RequestLimits,
+    ResponseFraming,
     ResponseHead,
 )
 from gentianhoist.peers import NullCommitmentPublisher
@@ -107,7 +109,13 @@
         self._end = asyncio.Event()
         self._ready_s = 0.0
 
-    def send(self, data: bytes, *, head_only: bool = False) -> None:
+    def send(
+        self,
+        data: bytes,
+        *,
+        head_only: bool = False,
+        on_dropped: Callable[[DroppedResponse], None],
+    ) -> None:
         self._server_state.sends += 1
         work_s = {
             ServerBehaviour.SLOW: 1.4,
@@ -169,6 +177,14 @@
     def skip_response(self) -> None:
         return None
 
+    @property
+    def framing(self) -> ResponseFraming:
+        return ResponseFraming.LENGTH
+
+    @property
+    def sent_requests(self) -> int:
+        return 1
+
     def close(self) -> None:
         self._closed = True
         self._end.set()
