--- a/gentianhoist/http1/_client.py
+++ b/gentianhoist/http1/_client.py
@@ -302,9 +302,7 @@
             self._fail(self._lost_message)
 
     def _parse_response(self, data: memoryview) -> None:
-        if not self._pending_responses:
-            self._forbid_reuse_and_abort_if_idle()
-            return
+        was_idle = not self._pending_responses
         self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -312,6 +310,8 @@
             self._forbid_reuse_and_abort_if_idle()
         except httptools.HttpParserError as error:
             self._abort(f"invalid HTTP response: {error}")
+        if was_idle:
+            self._forbid_reuse_and_abort_if_idle()
         if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
             self._abort("the response has a head or framing beyond the size limit")
 
