Add failing tests of servers that answer a request twice

The tests drive attempts on a real pool and count bodies that are mixed and responses that are lost.

--- a/tests/platform_adapter/test_answers.py
+++ b/tests/platform_adapter/test_answers.py
@@ -9,6 +9,7 @@
 from tests.turn_monitor import PASS_S, TurnMonitor
 
 STREAM = b"".join(b"id: %d\ndata: x%d\n\n" % (i, i) for i in range(1, 6))
+SECOND_HEAD = b"HTTP/1.1 200 OK\r\nAttempt-Id: s1\r\nServer-Seal: s\r\n"
 PROMPT = {"Token_Count": "5000,100"}
 # Less than the caller's timeout, which a response without an end must not use up.
 PROMPT_FAILURE_S = 1.5
@@ -33,6 +34,35 @@
         status, _, body = await deployment.send("/brief/x", "s1", **PROMPT)
         assert (status, body) == (200, STREAM)
 
+    # Guards against: the head of a second response is passed on as events.
+    @pytest.mark.parametrize(
+        "second",
+        [
+            SECOND_HEAD + b"Content-Length: 6\r\n\r\nsecond",
+            SECOND_HEAD + b"Content-Length: %d\r\n\r\n" % len(STREAM) + STREAM,
+            SECOND_HEAD + b"Content-Length: 99\r\n\r\n" + STREAM[:20],
+            SECOND_HEAD + b"Transfer-Encoding: chunked\r\n\r\n6\r\nsecond\r\n0\r\n\r\n",
+            SECOND_HEAD + b"\r\n" + STREAM,
+            b"HTTP/1.1 103 Early\r\n\r\n" + SECOND_HEAD + b"\r\n" + STREAM,
+            b"HTTP/1.1 204 No Content"
+            + SECOND_HEAD.removeprefix(b"HTTP/1.1 200 OK")
+            + b"\r\n",
+        ],
+        ids=["length", "same", "broken off", "chunked", "close", "after 103", "204"],
+    )
+    async def test_stream_ends_before_a_second_response(self, deployment, second):
+        set_raw(deployment, RawResponse(STREAM + second), "e0", "e1")
+        status, _, body = await deployment.send("/brief/x", "s1", **PROMPT)
+        assert (status, body) == (200, STREAM)
+
+    # Guards against: the head of a second response is passed on in the body.
+    async def test_response_ends_before_a_second_response(self, deployment):
+        second = SECOND_HEAD + b"Content-Length: 6\r\n\r\nsecond"
+        set_raw(deployment, RawResponse(b"done" + second), "d0", "d1")
+        status, headers, body = await deployment.send("/press/x", "s1")
+        assert (status, body) == (200, b"done")
+        assert headers["Content-Length"] == "4"
+
     async def test_response_that_is_reset_is_not_complete(self, deployment):
         set_raw(deployment, RawResponse(b"do", is_reset=True), "d0", "d1")
         status, _, _ = await deployment.send("/press/x", "p1")
