--- a/tests/dispatch/test_stuttering_servers.py
+++ b/tests/dispatch/test_stuttering_servers.py
@@ -44,6 +44,8 @@
 _REQUESTS_IN_TURN = 16
 _CONCURRENT_CALLERS = 3
 _MAX_SEEDS_NAMED = 40
+# The client reads a piece, and its task runs, before the next piece is sent.
+_PAUSE_TURNS = 3
 
 
 class Outcome(NamedTuple):
@@ -67,12 +69,15 @@
         unread: Number of requests that the server didn't read.
         mixed: Number of attempts that got another body, by seed.
         lost: Number of failed attempts whose request the server read, by seed.
+        lost_in_full: Number of these whose true response was sent in full; the client
+            closed the connection before the end of the others.
     """
 
     delivered: int = 0
     unread: int = 0
     mixed: Counter[int] = field(default_factory=Counter)
     lost: Counter[int] = field(default_factory=Counter)
+    lost_in_full: int = 0
 
     def record(
         self, seed: int, id_: str, outcome: Outcome, server: StutteringServer
@@ -81,9 +86,10 @@
         if outcome.body is None:
             if id_ in server.true_bodies:
                 self.lost[seed] += 1
+                self.lost_in_full += id_ in server.sent_in_full
             else:
                 self.unread += 1
-        elif outcome.body == server.true_bodies[id_]:
+        elif outcome.body == server.true_bodies.get(id_):
             self.delivered += 1
         else:
             self.mixed[seed] += 1
@@ -91,7 +97,8 @@
     def __str__(self) -> str:
         return (
             f"{self.delivered} delivered, {self.unread} unread, "
-            f"{_name_seeds('mixed', self.mixed)}, {_name_seeds('lost', self.lost)}"
+            f"{_name_seeds('mixed', self.mixed)}, {_name_seeds('lost', self.lost)}, "
+            f"{self.lost_in_full} lost although sent in full"
         )
 
 
@@ -254,53 +261,70 @@
 _FRAMINGS = [Framing.LENGTH, Framing.CHUNKED, Framing.CLOSE]
 
 
-def _scripted_step(framing: Framing, second: SecondResponse, id_: str) -> Step:
-    """Return the step of the second request, "b"; the first one, "a", has no cuts."""
+def _scripted_step(
+    framing: Framing, seconds: tuple[SecondResponse, ...], id_: str
+) -> Step:
+    """Return what is sent for the second request of a pair; see `_send_pair`."""
     true = Response(f"{id_}b", b"true-b", framing)
-    response = second.response._replace(id=f"{id_}{'a' if second.is_late else 'b'}")
-    before = (response,) if second.is_late else ()
-    after = () if second.is_late else (response,)
-    closes = Framing.CLOSE in {framing, *(item.framing for item in after)}
-    return Step(before, true, after, pause_turns=3, closes=closes)
-
-
-async def _send_pair(pool: ConnectionPool, number: int) -> Outcome:
-    """Send two requests; their connection isn't used for another pair."""
-    first = await _send(pool, f"{number:03d}a")
-    assert first.body == b"true-a"
-    return await _send(pool, f"{number:03d}b")
-
-
+    before = tuple(
+        second.response._replace(id=f"{id_}a") for second in seconds if second.is_late
+    )
+    after = tuple(
+        second.response._replace(id=f"{id_}b")
+        for second in seconds
+        if not second.is_late
+    )
+    closes = any(response.framing is Framing.CLOSE for response in (true, *after))
+    return Step(before, true, after, pause_turns=_PAUSE_TURNS, closes=closes)
+
+
+async def _send_pair(pool: ConnectionPool, cut: int) -> Outcome:
+    """Send two requests; the bytes for the second one are cut at an offset."""
+    first = await _send(pool, f"{cut:03d}a")
+    assert first == Outcome(b"true-a")
+    return await _send(pool, f"{cut:03d}b")
+
+
+async def _assert_true_at_every_cut(framing: Framing, *seconds: SecondResponse) -> None:
+    def plan(requests: Sequence[ReceivedRequest]) -> Step:
+        id_ = requests[-1].id
+        if id_.endswith("a"):
+            return Step((), Response(id_, b"true-a"), ())
+        step = _scripted_step(framing, seconds, id_[:-1])
+        cut = int(id_[:-1])
+        # Cut 0 stands for one write.
+        return step._replace(cuts=(cut,) if cut else ())
+
+    cuts = range(len(encode_step(_scripted_step(framing, seconds, "000"))))
+    async with _running(plan) as (_, pool):
+        outcomes = await asyncio.gather(*(_send_pair(pool, cut) for cut in cuts))
+    failed = [
+        f"{cut}: {outcome.body or outcome.failure}"
+        for cut, outcome in zip(cuts, outcomes, strict=True)
+        if outcome.body != b"true-b"
+    ]
+    lost = sum(outcome.body is None for outcome in outcomes)
+    mixed = len(failed) - lost
+    assert not failed, f"{mixed} mixed, {lost} lost of {len(cuts)} cuts: {failed[:5]}"
+
+
+@pytest.mark.parametrize("framing", _FRAMINGS, ids=lambda framing: framing.value)
 class TestEveryCut:
     # Guards against: the response depends on which bytes arrive in one read.
-    @pytest.mark.parametrize("framing", _FRAMINGS, ids=lambda framing: framing.value)
     @pytest.mark.parametrize(
         "second",
         _SECOND_RESPONSES,
         ids=lambda second: f"{'late' if second.is_late else 'after'} {second.name}",
     )
     async def test_response_is_the_true_one(self, second, framing):
-        def plan(requests):
-            id_ = requests[-1].id
-            if id_.endswith("a"):
-                return Step((), Response(id_, b"true-a"), ())
-            step = _scripted_step(framing, second, id_[:-1])
-            cut = int(id_[:-1])
-            return step._replace(cuts=(cut,) if cut else ())
-
-        cuts = range(len(encode_step(_scripted_step(framing, second, "000"))))
-        async with _running(plan) as (_, pool):
-            outcomes = await asyncio.gather(*(_send_pair(pool, cut) for cut in cuts))
-        failed = [
-            f"{cut}: {outcome.body or outcome.failure}"
-            for cut, outcome in zip(cuts, outcomes, strict=True)
-            if outcome.body != b"true-b"
-        ]
-        mixed = sum(outcome.body not in {None, b"true-b"} for outcome in outcomes)
-        lost = sum(outcome.body is None for outcome in outcomes)
-        assert not failed, (
-            f"{mixed} mixed, {lost} lost of {len(cuts)} cuts: {failed[:5]}"
-        )
+        await _assert_true_at_every_cut(framing, second)
+
+    # Guards against: the second response to the request is delivered once the true one
+    # was dropped.
+    async def test_true_response_between_two_second_ones(self, framing):
+        late = SecondResponse("late", True, _OTHER)
+        after = SecondResponse("after", False, _OTHER)
+        await _assert_true_at_every_cut(framing, late, after)
 
 
 class TestOneRead:
