Attribute responses by their heads when they are parsed

What callers saw: a body that is not the server's, or no response although it had arrived, when a server answered twice.

Cause: whose a byte is was decided by when a task ran, and by the framing alone. The connection counted the responses it expected while it parsed; the task that waited compared ids later, and only then expected one more. When a late second response and the right one were parsed in between, the right one was dropped, and the request waited, or got the second response to itself. A body that ends with its connection held whatever came before the close, and one that was broken off was filled up by the next response.

Change: `ResponseReader` owns the bytes of a connection. As soon as a head is parsed, its id decides: a response to another request is dropped and the one to this request is still expected. Each message gets a parser of its own, as the one of httptools takes nothing after `Connection: close`. Bytes of a dropped response no longer count in the buffer. The end of a connection no longer completes a body while received bytes wait to be parsed.

Not decidable by any client, and so not changed: a response that was broken off without a close by less than the head of the one that follows, if that head is cut there.

--- a/gentianhoist/dispatch/_attempt.py
+++ b/gentianhoist/dispatch/_attempt.py
@@ -22,7 +22,6 @@
     ConnectionFailed,
     ConnectionPool,
     DroppedResponse,
-    DropPosition,
 )
 
 __all__ = ["Attempt", "AttemptFailed", "Execution", "ResponseTrace", "StreamProgress"]
@@ -194,6 +193,7 @@
             self._connection.send(
                 encode(),
                 head_only=self._call.method == b"HEAD",
+                attribute=self._codec.attribution(self._call),
                 on_dropped=self._on_dropped,
             )
         except ConnectionFailed as error:
@@ -209,10 +209,9 @@
         Raises:
             AttemptFailed: If no response arrives that may be forwarded.
         """
-        assert self._lease is not None
         try:
             async with asyncio.timeout_at(wait_deadline_s):
-                response = await self._matching_response(self._lease.is_new)
+                head = await self._connection.read_head()
         except TimeoutError:
             raise AttemptFailed(
                 Execution.UNKNOWN, "no response before the timeout", no_response=True
@@ -221,6 +220,12 @@
             raise AttemptFailed(
                 Execution.UNKNOWN, str(error), connection_lost=True
             ) from error
+        response = self._codec.decode(
+            head,
+            self._call,
+            is_first_response=self._connection.reads_first_response,
+        )
+        self._on_response(response)
         match response.validity:
             case ResponseValidity.NOT_EXECUTED:
                 raise AttemptFailed(
@@ -292,16 +297,3 @@
     def _connection(self) -> ClientConnection:
         assert self._lease is not None, "send() was not called"
         return self._lease.connection
-
-    async def _matching_response(self, is_first_response: bool) -> ServerResponse:
-        while True:
-            head = await self._connection.read_head()
-            response = self._codec.decode(
-                head, self._call, is_first_response=is_first_response
-            )
-            if response.validity is not ResponseValidity.OTHER_REQUEST:
-                self._on_response(response)
-                return response
-            self._connection.skip_response()
-            self._on_dropped(DroppedResponse(head, DropPosition.BEFORE))
-            is_first_response = False
--- a/gentianhoist/dispatch/_interfaces.py
+++ b/gentianhoist/dispatch/_interfaces.py
@@ -10,7 +10,7 @@
 
 from gentianhoist.backoff import ServerNotice
 from gentianhoist.fleet import BackendServer, Organisation
-from gentianhoist.http1 import Headers, ResponseHead
+from gentianhoist.http1 import Attribute, Headers, ResponseHead
 from gentianhoist.quarantine import request_key
 from gentianhoist.ratelimits import LimitNotice, NoLimitNamed
 
@@ -97,7 +97,6 @@
 
     VALID = "the server's response to this request"
     NOT_EXECUTED = "the server says that it did not run the request"
-    OTHER_REQUEST = "a response to another request"
     UNTRUSTED = "a response that must not be passed on"
 
 
@@ -171,6 +170,16 @@
         """
         ...
 
+    def attribution(self, call: Call) -> Attribute:
+        """Return what tells whether a response head is one to a request.
+
+        It is kept for longer than the request, and doesn't hold its body.
+
+        Args:
+            call: The request.
+        """
+        ...
+
 
 class ReservationStatus(Enum):
     """Outcome of a request to reserve KV cache on an engine.
--- a/gentianhoist/dispatch/_sender.py
+++ b/gentianhoist/dispatch/_sender.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from functools import partial
 
 from gentianhoist.backoff import PauseNamed
 from gentianhoist.dispatch._attempt import (
@@ -15,7 +16,6 @@
 from gentianhoist.dispatch._candidates import Candidates
 from gentianhoist.dispatch._context import DispatchContext
 from gentianhoist.dispatch._interfaces import (
-    ResponseValidity,
     SendOptions,
     ServerResponse,
 )
@@ -28,7 +28,7 @@
 )
 from gentianhoist.exceptions import ErrorKind, HoistError
 from gentianhoist.fleet import BackendServer, ServerGroup
-from gentianhoist.http1 import DroppedResponse, Responder
+from gentianhoist.http1 import Attribution, DroppedResponse, Responder
 from gentianhoist.quarantine import Refused, TrialResult, refusal_error
 from gentianhoist.ratelimits import SendPermit
 
@@ -131,7 +131,7 @@
             self._state.pool(server, self.group),
             self._context.codec,
             lambda response: self._observe_response(server, response, sent_s),
-            lambda dropped: self._log_dropped(server, dropped),
+            partial(_log_dropped, self._context, server.id, request.call.id),
         )
 
         def encode() -> bytes:
@@ -169,25 +169,6 @@
                 request_id, server, response.rate_limit, sent_s
             )
 
-    def _log_dropped(self, server: BackendServer, dropped: DroppedResponse) -> None:
-        """Log a response on the connection of the request that isn't passed on."""
-        call = self._request.call
-        response = self._context.codec.decode(
-            dropped.head, call, is_first_response=False
-        )
-        names_request = response.validity is not ResponseValidity.OTHER_REQUEST
-        self._context.metrics.record_dropped_response(
-            dropped.position.name.lower(), names_request=names_request
-        )
-        self._context.log.record(
-            "response_dropped",
-            call.id,
-            server=server.id,
-            position=dropped.position.name.lower(),
-            status=dropped.head.status,
-            names_request=names_request,
-        )
-
     def finish(self, attempt: Attempt) -> None:
         """End an attempt that sent the request: release its connection and load."""
         attempt.close()
@@ -394,3 +375,23 @@
                     return other
             return None
         return server
+
+
+def _log_dropped(
+    context: DispatchContext, server_id: str, request_id: str, dropped: DroppedResponse
+) -> None:
+    """Log a response on the connection of a request that isn't passed on.
+
+    The connection may call this long after the request.
+    """
+    position = dropped.position.name.lower()
+    names_request = dropped.attribution is Attribution.OWN
+    context.metrics.record_dropped_response(position, names_request=names_request)
+    context.log.record(
+        "response_dropped",
+        request_id,
+        server=server_id,
+        position=position,
+        status=dropped.head.status,
+        names_request=names_request,
+    )
--- a/gentianhoist/http1/__init__.py
+++ b/gentianhoist/http1/__init__.py
@@ -6,20 +6,27 @@
 from gentianhoist.http1._client import (
     ClientConnection,
     ConnectionFailed,
-    DroppedResponse,
-    DropPosition,
     PoolExhausted,
-    ResponseFraming,
-    ResponseHead,
 )
 from gentianhoist.http1._decimals import parse_decimal
 from gentianhoist.http1._exchange import BufferedResponse, exchange
 from gentianhoist.http1._pool import AcquiredConnection, ConnectionPool, PoolLimits
 from gentianhoist.http1._responder import CallerRequest, Responder
+from gentianhoist.http1._responses import (
+    Attribute,
+    Attribution,
+    DroppedResponse,
+    DropPosition,
+    ResponseFraming,
+    ResponseHead,
+    attribute_in_order,
+)
 from gentianhoist.http1._server import HttpServer
 from gentianhoist.http1.core import Headers, RequestLimits, encode_request, get_header
 
 __all__ = [
+    "Attribute",
+    "Attribution",
     "CallerRequest",
     "ClientConnection",
     "ConnectionFailed",
@@ -39,5 +46,6 @@
     "encode_request",
     "exchange",
     "parse_decimal",
+    "attribute_in_order",
     "get_header",
 ]
--- a/gentianhoist/http1/_client.py
+++ b/gentianhoist/http1/_client.py
@@ -1,8 +1,7 @@
 """Client side of an HTTP/1.1 connection to a server.
 
-Every received byte must belong to a response that is pending. A connection that
-receives other bytes isn't used for another request, since they could be taken for the
-response to it.
+Every received byte must belong to the response to the request that waits. A connection
+that receives other bytes isn't used for another request.
 """
 
 from __future__ import annotations
@@ -11,47 +10,21 @@
 import socket
 from collections import deque
 from collections.abc import Callable
-from enum import Enum
 from typing import NamedTuple, cast
 
-import httptools
-
 from gentianhoist.http1._input import SlicedInput
-from gentianhoist.http1.core import Headers, get_header
+from gentianhoist.http1._response_reader import InvalidResponse, ResponseReader
+from gentianhoist.http1._responses import (
+    Attribute,
+    DroppedResponse,
+    ResponseFraming,
+    ResponseHead,
+    attribute_in_order,
+)
 
-__all__ = [
-    "ClientConnection",
-    "ConnectionFailed",
-    "DroppedResponse",
-    "DropPosition",
-    "ResponseFraming",
-    "ResponseHead",
-]
+__all__ = ["ClientConnection", "ConnectionFailed", "PoolExhausted"]
 
 _MAX_BUFFERED_BYTES = 256 * 1024
-# Bytes of heads, chunk framing and trailers since the last byte of a body.
-_MAX_OVERHEAD_BYTES = 64 * 1024
-# Each part of a message is looked up in all headers.
-_MAX_HEADERS = 256
-_NO_CONTENT = 204
-_NOT_MODIFIED = 304
-_FIRST_FINAL_STATUS = 200
-
-
-class ResponseHead(NamedTuple):
-    """Status and headers of a response.
-
-    Attributes:
-        status: HTTP status code.
-        headers: All headers, in the order received.
-    """
-
-    status: int
-    headers: Headers
-
-    def get_header(self, name: bytes) -> bytes | None:
-        """Return the first value of the header with this lower-case name, or None."""
-        return get_header(self.headers, name)
 
 
 class ConnectionFailed(Exception):
@@ -78,34 +51,6 @@
         )
 
 
-class ResponseFraming(Enum):
-    """How the end of a response's body is found."""
-
-    NO_BODY = "no body"
-    LENGTH = "length"
-    CHUNKED = "chunked"
-    CLOSE = "close"
-
-
-class DropPosition(Enum):
-    """Where on a connection a response was that no request reads."""
-
-    BEFORE = "before the response to the request"
-    AFTER = "after the response to the request"
-
-
-class DroppedResponse(NamedTuple):
-    """A response that was received and that no request reads.
-
-    Attributes:
-        head: Status and headers.
-        position: Where it was, as seen from the request that was sent last.
-    """
-
-    head: ResponseHead
-    position: DropPosition
-
-
 def _ignore_dropped(dropped: DroppedResponse) -> None:
     return None
 
@@ -133,26 +78,18 @@
     def __init__(self) -> None:
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
-        self._parser = httptools.HttpResponseParser(self)
+        self._reader = ResponseReader(self)
         self._input = SlicedInput(self._parse, self._has_room)
         self._events: deque[_ResponseEvent] = deque()
         self._reader_future: asyncio.Future[None] | None = None
         self._failure_message: str | None = None
         # Set once the connection has ended, while received bytes are still parsed.
         self._lost_message: str | None = None
-        self._headers: Headers = []
-        self._in_response = False
-        self._in_headers = False
-        self._body_ends_at_close = False
-        self._head_only = False
-        self._request_sent = False
-        self._pending_responses = 0
+        self._received_end = False
         self._buffered_bytes = 0
-        self._overhead_bytes = 0
+        self._sent_requests = 0
         self._reuse_forbidden = False
         self._on_dropped: Callable[[DroppedResponse], None] = _ignore_dropped
-        self._sent_requests = 0
-        self._framing = ResponseFraming.NO_BODY
         self.keep_alive_s: float | None = None
         self.idle_since_s = 0.0
 
@@ -190,7 +127,7 @@
             self._transport is not None
             and not self._reuse_forbidden
             and self._failure_message is None
-            and not self._pending_responses
+            and self._reader.is_idle
             and self._input.is_empty
         )
 
@@ -199,16 +136,22 @@
         """Number of requests that were sent on the connection."""
         return self._sent_requests
 
+    @property
+    def reads_first_response(self) -> bool:
+        """Whether no response came before the one to the request that was sent last."""
+        return self._sent_requests == 1 and not self._reader.skipped_responses
+
     @property
     def framing(self) -> ResponseFraming:
         """How the end of the body is found, of the response that was read last."""
-        return self._framing
+        return self._reader.framing
 
     def send(
         self,
         data: bytes,
         *,
         head_only: bool = False,
+        attribute: Attribute = attribute_in_order,
         on_dropped: Callable[[DroppedResponse], None] = _ignore_dropped,
     ) -> None:
         """Send a complete request.
@@ -216,7 +159,9 @@
         Args:
             data: The encoded request.
             head_only: Whether the method is HEAD, whose response has no body.
-            on_dropped: Called with each response that is dropped from now on.
+            attribute: Tells whether a response head is one to the request.
+            on_dropped: Called with each response that is dropped from now on, also
+                after the response to the request.
 
         Raises:
             ConnectionFailed: If the connection has already ended.
@@ -225,25 +170,24 @@
             raise ConnectionFailed(
                 self._failure_message or "connection closed", sent=False
             )
-        self._pending_responses = 1
-        self._request_sent = True
         self._sent_requests += 1
-        self._head_only = head_only
         self._on_dropped = on_dropped
+        self._events.clear()
+        self._buffered_bytes = 0
+        self._reader.expect(attribute, head_only=head_only)
         self._transport.write(data)
 
     async def read_head(self) -> ResponseHead:
-        """Wait for the status and headers of the next response.
-
-        Discards what is left of the response before it.
+        """Wait for the status and headers of the response to the request.
 
         Raises:
             ConnectionFailed: If the connection fails before they arrive.
         """
-        while True:
-            event = await self._next_event()
-            if isinstance(event, _HeadEvent):
-                return event.head
+        match await self._next_event():
+            case _HeadEvent(head=head):
+                return head
+            case _:
+                raise RuntimeError("the head of the response was read before")
 
     async def read_data(self) -> bytes:
         """Wait for the next part of the body; empty when the response is complete.
@@ -253,8 +197,7 @@
         Raises:
             ConnectionFailed: If the connection fails before the response is complete.
         """
-        event = await self._next_event()
-        match event:
+        match await self._next_event():
             case _DataEvent(data=data):
                 self._buffered_bytes -= len(data)
                 self._input.update()
@@ -262,18 +205,7 @@
             case _EndEvent():
                 return b""
             case _HeadEvent():
-                raise ConnectionFailed(
-                    "a second response head arrived inside a response body", sent=True
-                )
-
-    def skip_response(self) -> None:
-        """Mark the current response as that of another request, and expect one more.
-
-        The response to this request is still to come. The connection isn't used for
-        another request afterwards.
-        """
-        self._pending_responses += 1
-        self._reuse_forbidden = True
+                raise RuntimeError("the head of the response was not read")
 
     def close(self) -> None:
         """Close the connection at once; the server may still run the request."""
@@ -297,78 +229,49 @@
         return self._buffered_bytes < _MAX_BUFFERED_BYTES
 
     def _parse(self, data: memoryview) -> None:
-        self._parse_response(data)
-        if self._lost_message is not None and self._input.is_empty:
-            self._fail(self._lost_message)
-
-    def _parse_response(self, data: memoryview) -> None:
-        was_idle = not self._pending_responses
-        self._overhead_bytes += len(data)
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._forbid_reuse_and_abort_if_idle()
-        except httptools.HttpParserError as error:
-            self._abort(f"invalid HTTP response: {error}")
-        if was_idle:
-            self._forbid_reuse_and_abort_if_idle()
-        if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
-            self._abort("the response has a head or framing beyond the size limit")
+            self._reader.feed(bytes(data))
+        except InvalidResponse as error:
+            self._abort(str(error))
+        self._end_input()
 
     def eof_received(self) -> bool:
-        if self._body_ends_at_close and self._in_response:
-            self._complete_response()
+        self._received_end = True
+        self._end_input()
         return False
 
+    def _end_input(self) -> None:
+        """End the response or fail, if all bytes of a connection that ended are parsed.
+
+        Bytes may still wait when the end arrives.
+        """
+        if not self._input.is_empty or self._failure_message is not None:
+            return
+        if self._received_end:
+            self._reader.feed_end()
+        if self._lost_message is not None:
+            self._fail(self._lost_message)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._input.detach()
-        message = f"connection lost: {exc!r}" if exc else "connection closed"
-        if self._input.is_empty:
-            self._fail(message)
-        else:
-            self._lost_message = message
+        self._lost_message = f"connection lost: {exc!r}" if exc else "connection closed"
+        self._end_input()
 
-    # Callbacks of the httptools parser.
+    # Methods of ResponseSink, for the reader of responses.
 
-    def on_message_begin(self) -> None:
-        if not self._pending_responses:
-            # Bytes after a complete response belong to no request.
+    def on_head(self, head: ResponseHead, *, keep_alive: bool) -> None:
+        """Take the head of the response to the request."""
+        if not keep_alive:
             self._reuse_forbidden = True
-        self._headers = []
-        self._in_headers = True
-        self._in_response = True
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        if not self._in_headers:
-            return
-        if len(self._headers) >= _MAX_HEADERS:
-            raise ValueError("too many headers")
-        self._headers.append((name, value))
-
-    def on_headers_complete(self) -> None:
-        self._in_headers = False
-        status = self._parser.get_status_code()
-        if status < _FIRST_FINAL_STATUS:
-            return
-        head = ResponseHead(status, self._headers)
-        if not self._pending_responses:
-            self._on_dropped(DroppedResponse(head, DropPosition.AFTER))
-            return
-        self._overhead_bytes = 0
-        self._apply_keep_alive(head)
+        for part in (head.get_header(b"keep-alive") or b"").split(b","):
+            name, _, number = part.strip().partition(b"=")
+            if name.lower() == b"timeout" and number.isdigit():
+                self.keep_alive_s = float(number)
         self._enqueue(_HeadEvent(head))
-        if self._head_only:
-            self._reuse_forbidden = True
-            self._complete_response()
-            return
-        self._framing = _framing(head)
-        self._body_ends_at_close = self._framing is ResponseFraming.CLOSE
 
-    def on_body(self, data: bytes) -> None:
-        if not self._pending_responses:
-            return
-        self._overhead_bytes = 0
+    def on_data(self, data: bytes) -> None:
+        """Take a part of the body."""
         self._buffered_bytes += len(data)
         match self._events[-1] if self._events else None:
             case _DataEvent(data=buffered):
@@ -376,34 +279,23 @@
             case _:
                 self._enqueue(_DataEvent(bytearray(data)))
 
-    def on_message_complete(self) -> None:
-        if self._parser.get_status_code() < _FIRST_FINAL_STATUS:
-            return
-        if self._in_response and self._pending_responses:
-            self._complete_response()
-
-    def _apply_keep_alive(self, head: ResponseHead) -> None:
-        if not self._parser.should_keep_alive():
-            self._reuse_forbidden = True
-        for part in (head.get_header(b"keep-alive") or b"").split(b","):
-            name, _, number = part.strip().partition(b"=")
-            if name.lower() == b"timeout" and number.isdigit():
-                self.keep_alive_s = float(number)
-
-    def _complete_response(self) -> None:
-        self._in_response = False
-        self._overhead_bytes = 0
-        self._body_ends_at_close = False
-        self._pending_responses -= 1
+    def on_end(self) -> None:
+        """Take the end of the response."""
         if self._transport is None or self._transport.get_write_buffer_size():
             # The server responded before it read the whole request. It would take
             # the bytes of the next request for the rest of this request's body.
             self._reuse_forbidden = True
         self._enqueue(_EndEvent())
 
-    def _forbid_reuse_and_abort_if_idle(self) -> None:
+    def on_dropped(self, dropped: DroppedResponse) -> None:
+        """Report a response that is not the one to the request."""
+        self._reuse_forbidden = True
+        self._on_dropped(dropped)
+
+    def on_stray_bytes(self) -> None:
+        """Close the connection; what was parsed before can still be read."""
         self._reuse_forbidden = True
-        if not self._pending_responses and self._transport is not None:
+        if self._transport is not None:
             self._transport.abort()
 
     def _abort(self, message: str) -> None:
@@ -432,7 +324,9 @@
             await asyncio.sleep(0)
         while not self._events:
             if self._failure_message is not None:
-                raise ConnectionFailed(self._failure_message, sent=self._request_sent)
+                raise ConnectionFailed(
+                    self._failure_message, sent=bool(self._sent_requests)
+                )
             self._reader_future = self._loop.create_future()
             await self._reader_future
         return self._events.popleft()
@@ -446,13 +340,3 @@
             socket.TCP_USER_TIMEOUT,
             int(unacknowledged_timeout_s * 1000),
         )
-
-
-def _framing(head: ResponseHead) -> ResponseFraming:
-    if head.status in {_NO_CONTENT, _NOT_MODIFIED}:
-        return ResponseFraming.NO_BODY
-    if head.get_header(b"transfer-encoding") is not None:
-        return ResponseFraming.CHUNKED
-    if head.get_header(b"content-length") is not None:
-        return ResponseFraming.LENGTH
-    return ResponseFraming.CLOSE
--- a/gentianhoist/http1/_exchange.py
+++ b/gentianhoist/http1/_exchange.py
@@ -3,13 +3,22 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+from functools import partial
 from typing import NamedTuple
 
-from gentianhoist.http1._client import ConnectionFailed, ResponseHead
+from gentianhoist.http1._client import ConnectionFailed
 from gentianhoist.http1._pool import ConnectionPool
+from gentianhoist.http1._responses import (
+    Attribute,
+    DroppedResponse,
+    ResponseHead,
+    attribute_in_order,
+)
 
 __all__ = ["BufferedResponse", "exchange"]
 
+_log = logging.getLogger(__name__)
 
 # A body is decoded in one go.
 _MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -38,6 +47,7 @@
     head_timeout_s: float,
     read_timeout_s: float,
     max_body_bytes: int = _MAX_BODY_BYTES,
+    attribute: Attribute = attribute_in_order,
 ) -> BufferedResponse:
     """Send a request and read its complete response.
 
@@ -49,6 +59,7 @@
         read_timeout_s: Maximum seconds between two parts of the body. There is no limit
             on the whole body, since a large response takes long on a slow link.
         max_body_bytes: Maximum size of the body.
+        attribute: Tells whether a response head is one to the request.
 
     Raises:
         ConnectionFailed: If no connection can be opened, it fails, or the body exceeds
@@ -58,7 +69,11 @@
     acquired = await pool.acquire()
     connection = acquired.connection
     try:
-        connection.send(request)
+        connection.send(
+            request,
+            attribute=attribute,
+            on_dropped=partial(_log_dropped, pool.address),
+        )
         async with asyncio.timeout(head_timeout_s):
             head = await connection.read_head()
         body_parts = []
@@ -78,3 +93,14 @@
     finally:
         pool.release(connection)
     return BufferedResponse(head, b"".join(body_parts))
+
+
+def _log_dropped(address: str, dropped: DroppedResponse) -> None:
+    _log.warning(
+        "response dropped",
+        extra={
+            "address": address,
+            "position": dropped.position.name.lower(),
+            "status": dropped.head.status,
+        },
+    )
--- a/gentianhoist/http1/_pool.py
+++ b/gentianhoist/http1/_pool.py
@@ -60,6 +60,11 @@
         self._idle: list[ClientConnection] = []
         self._open_count = 0
 
+    @property
+    def address(self) -> str:
+        """IP address and port of the server."""
+        return f"{self._host}:{self._port}"
+
     @property
     def open_connections(self) -> int:
         """Number of connections that are in use or idle."""
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -31,6 +31,8 @@
 )
 from gentianhoist.http1 import (
     AcquiredConnection,
+    Attribute,
+    Attribution,
     ConnectionFailed,
     DroppedResponse,
     RequestLimits,
@@ -114,8 +116,10 @@
         data: bytes,
         *,
         head_only: bool = False,
+        attribute: Attribute,
         on_dropped: Callable[[DroppedResponse], None],
     ) -> None:
+        self._attribute = attribute
         self._server_state.sends += 1
         work_s = {
             ServerBehaviour.SLOW: 1.4,
@@ -146,6 +150,12 @@
             loop.call_later(1.0, self._server_state.runs.append, self._server.id)
 
     async def read_head(self) -> ResponseHead:
+        while True:
+            head = await self._next_head()
+            if self._attribute(head) is not Attribution.OTHER:
+                return head
+
+    async def _next_head(self) -> ResponseHead:
         match self._behaviour:
             case ServerBehaviour.RESET_BEFORE | ServerBehaviour.RESET_AFTER:
                 raise ConnectionFailed("reset", sent=True)
@@ -174,8 +184,9 @@
             raise ConnectionFailed("cut", sent=True)
         return self._parts.pop(0)
 
-    def skip_response(self) -> None:
-        return None
+    @property
+    def reads_first_response(self) -> bool:
+        return self._heads == 0
 
     @property
     def framing(self) -> ResponseFraming:
@@ -228,9 +239,7 @@
         self, head: ResponseHead, call: Call, *, is_first_response: bool
     ) -> ServerResponse:
         behaviour = head.get_header(b"does")
-        if behaviour is None:
-            validity = ResponseValidity.OTHER_REQUEST
-        elif behaviour == ServerBehaviour.REJECT.value.encode():
+        if behaviour == ServerBehaviour.REJECT.value.encode():
             validity = ResponseValidity.NOT_EXECUTED
         elif behaviour == ServerBehaviour.GARBAGE.value.encode():
             validity = ResponseValidity.UNTRUSTED
@@ -238,6 +247,13 @@
             validity = ResponseValidity.VALID
         return ServerResponse(validity, head.status, [])
 
+    def attribution(self, call: Call) -> Attribute:
+        return _attribute
+
+
+def _attribute(head: ResponseHead) -> Attribution:
+    return Attribution.OTHER if head.get_header(b"for") else Attribution.OWN
+
 
 class FakeReservationClient:
     """Records KV reservations of the fake engines."""
