Send a head before the end of a stream without a new event

A caller that resumed a stream and has all of its events already got the bytes "0\r\n\r\n" in place of a response, if the server sent the stream from its start: the head is written with the first event that is passed on, and all of them were dropped as repeats. A kept connection is out of step from then on.

Before the change the test with stand-ins failed with aiohttp's "BadStatusLine: 400, Expected HTTP/, RTSP/ or ICE/: b'0'", the test of the dispatcher with "assert self.started" (2 failed); both pass now. The head is written before the last chunk, if it wasn't before.

--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -131,6 +131,7 @@
         finally:
             reserved.on_decode_engine_lost = None
             self.finish(attempt)
+        self._start_response(response)
         self._responder.end_chunked()
         self._log_served(reserved, trace)
         self._quarantine.report_completed(
@@ -255,18 +256,22 @@
         if not parts:
             return
         now_s = self._loop.time()
-        if not self._responder.started:
-            self._responder.start_chunked(response.status, response.headers)
+        if self._first_event_s is None:
             self._first_event_s = now_s - self._request.call.received_s
             self._context.metrics.record_first_event(self._first_event_s)
         else:
             self._longest_pause_s = max(
                 self._longest_pause_s, now_s - (self._request.last_event_s or now_s)
             )
+        self._start_response(response)
         self._request.last_event_s = now_s
         self._events_forwarded += len(parts)
         await self._responder.send_chunk(b"".join(parts))
 
+    def _start_response(self, response: ServerResponse) -> None:
+        if not self._responder.started:
+            self._responder.start_chunked(response.status, response.headers)
+
     async def _retry_or_forward_error(
         self, attempt: Attempt, response: ServerResponse
     ) -> str:
--- /dev/null
+++ b/tests/dispatch/test_resumed_streams.py
@@ -0,0 +1,143 @@
+"""Bodies of event streams, as they are and when resumed at another server."""
+
+import asyncio
+from dataclasses import replace
+from typing import NamedTuple
+
+from gentianhoist.fleet import Idempotency
+from gentianhoist.http1 import (
+    AcquiredConnection,
+    ConnectionFailed,
+    ResponseFraming,
+    ResponseHead,
+)
+from tests.dispatch.fakes import (
+    DispatcherHarness,
+    FakeResponder,
+    ServerBehaviour,
+    call,
+    configuration,
+)
+from tests.virtual_time_loop import VirtualTimeLoop
+
+
+def events(*ids: int) -> bytes:
+    return b"".join(b"id: %d\ndata: x%d\n\n" % (id_, id_) for id_ in ids)
+
+
+WITHOUT_ID = b"data: y\n\n"
+COMMENT = b": still here\n\n"
+
+
+class Served(NamedTuple):
+    """What a server sends for one request.
+
+    Attributes:
+        body: The bytes after its head.
+        is_complete: Whether the body ends, or the connection is lost.
+        framing: How the end of the body is found.
+    """
+
+    body: bytes
+    is_complete: bool = True
+    framing: ResponseFraming = ResponseFraming.CHUNKED
+
+
+class Received(NamedTuple):
+    """What became of one stream.
+
+    Attributes:
+        responder: The response that the caller received.
+        last_event_ids: Last-Event-Id of each send, empty for none.
+    """
+
+    responder: FakeResponder
+    last_event_ids: list[bytes]
+
+    @property
+    def is_complete(self) -> bool:
+        return self.responder.finished and not self.responder.aborted
+
+
+class ScriptedConnection:
+    """A connection to a server that sends the next response of a script."""
+
+    sent_requests = 1
+    usable = True
+
+    def __init__(self, served: Served, last_event_ids: list[bytes]) -> None:
+        self._served = served
+        self._parts = [served.body] if served.body else []
+        self._last_event_ids = last_event_ids
+        self.framing = served.framing
+
+    def send(self, data: bytes, **options) -> None:
+        self._last_event_ids.append(data)
+
+    async def read_head(self) -> ResponseHead:
+        await asyncio.sleep(0.01)
+        return ResponseHead(200, [(b"does", ServerBehaviour.ANSWER.value.encode())])
+
+    async def read_data(self) -> bytes:
+        if self._parts:
+            return self._parts.pop(0)
+        if not self._served.is_complete:
+            raise ConnectionFailed("cut", sent=True)
+        return b""
+
+    def close(self) -> None:
+        return None
+
+
+class ScriptedPool:
+    def __init__(self, script: list[Served], last_event_ids: list[bytes]) -> None:
+        self._script = script
+        self._last_event_ids = last_event_ids
+
+    async def acquire(self, *, max_idle_s: float = 0.0) -> AcquiredConnection:
+        connection = ScriptedConnection(self._script.pop(0), self._last_event_ids)
+        return AcquiredConnection(connection, True)  # type: ignore[arg-type]
+
+    def release(self, connection: ScriptedConnection) -> None:
+        return None
+
+
+class StrictResponder(FakeResponder):
+    """Refuses the bytes of a body that has no head."""
+
+    async def send_chunk(self, data: bytes) -> None:
+        assert self.started
+        await super().send_chunk(data)
+
+    def end_chunked(self) -> None:
+        assert self.started
+        super().end_chunked()
+
+
+def relay(
+    *script: Served,
+    last_event_id: bytes | None = None,
+    idempotency: Idempotency = Idempotency.IDEMPOTENT,
+) -> Received:
+    """Serve one stream; each send gets the next response of the script."""
+    loop = VirtualTimeLoop()
+    harness = DispatcherHarness(loop, iter([]))
+    harness.state.routing.update_if_newer(configuration(idempotency, streaming=True))
+    last_event_ids: list[bytes] = []
+    pool = ScriptedPool(list(script), last_event_ids)
+    harness.state.pool = lambda server, group: pool  # type: ignore[assignment,method-assign,return-value]
+    responder = StrictResponder()
+    request = replace(call(loop, prompt_tokens=5_000), last_event_id=last_event_id)
+    loop.run(harness.dispatcher.handle(request, responder))  # type: ignore[arg-type]
+    loop.cancel_and_close()
+    return Received(responder, last_event_ids)
+
+
+class TestHead:
+    # Guards against: the end of a body is sent without a head, as bytes that are no
+    # response, when the caller has all events already.
+    def test_stream_without_a_new_event_has_a_head(self):
+        received = relay(Served(events(1, 2, 3)), last_event_id=b"3")
+        assert received.responder.status == 200
+        assert received.responder.body == b""
+        assert received.is_complete
--- a/tests/platform_adapter/test_answers.py
+++ b/tests/platform_adapter/test_answers.py
@@ -112,3 +112,13 @@
         status, _, _ = await asyncio.wait_for(deployment.send("/press/x", "p1"), 5.0)
         assert status == 502
         assert time.monotonic() - began_s < PROMPT_FAILURE_S
+
+
+class TestResumedByTheCaller:
+    # Guards against: the end of a body without a head, which is no response.
+    async def test_stream_without_a_new_event_has_a_head(self, deployment):
+        set_raw(deployment, RawResponse(STREAM), "e0", "e1")
+        status, _, body = await deployment.send(
+            "/brief/x", "s1", Last_Event_Id="5", **PROMPT
+        )
+        assert (status, body) == (200, b"")
