Pass on streams as they are unless they were resumed

A caller got a body that wasn't the server's whole body: an event whose id didn't exceed the one before was dropped, also from a stream that nobody resumed, in the middle of a resumed one, and on routes whose streams can't be resumed, if the caller named a Last-Event-Id.

Cause: whether an event is a repeat was told from the last id alone. It is one only at the beginning of a part that was resumed, up to the id at which it was. `EventSequence` knows where each part begins, and drops nothing else.

--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -18,6 +18,7 @@
 from gentianhoist.dispatch._kv_reserver import ReservedPlacement
 from gentianhoist.dispatch._prompt_placer import PromptPlacer
 from gentianhoist.dispatch._request import Request
+from gentianhoist.dispatch._resumption import EventSequence
 from gentianhoist.dispatch._sender import Sender
 from gentianhoist.exceptions import HoistError
 from gentianhoist.fleet import BackendServer
@@ -53,7 +54,9 @@
     ) -> None:
         super().__init__(context, request, responder)
         self._placer = PromptPlacer(context, request, self)
-        self._last_event_id = request.call.last_event_id
+        self._sequence = EventSequence(
+            request.call.last_event_id, may_resume=request.idempotent
+        )
         self._events_forwarded = 0
         self._longest_pause_s = 0.0
         self._progress = StreamProgress()
@@ -102,10 +105,11 @@
     async def _stream_from(self, reserved: ReservedPlacement) -> str:
         placement = reserved.placement
         self._progress = StreamProgress()
+        self._sequence.begin_part()
         options = SendOptions(
             None,
             0.0,
-            last_event_id=self._last_event_id,
+            last_event_id=self._sequence.last_event_id,
             urgency=reserved.urgency,
             helpers=reserved.helpers,
             decode_reservation_id=reserved.decode_reservation_id,
@@ -207,14 +211,6 @@
         if self._responder.started:
             await self._responder.send_chunk(reader.incomplete)
 
-    def _is_duplicate(self, event: StreamEvent) -> bool:
-        """Whether a resumed stream repeats a forwarded event; ids increase."""
-        if event.id is None or self._last_event_id is None:
-            return False
-        if not (event.id.isdigit() and self._last_event_id.isdigit()):
-            return event.id == self._last_event_id
-        return _number_key(event.id) <= _number_key(self._last_event_id)
-
     async def _next_chunk(self, attempt: Attempt, wait_deadline_s: float) -> bytes:
         while True:
             try:
@@ -246,13 +242,7 @@
         self, events: list[StreamEvent], response: ServerResponse
     ) -> None:
         """Forward the events that the caller doesn't have yet."""
-        parts = []
-        for event in events:
-            if self._is_duplicate(event):
-                continue
-            parts.append(event.data)
-            if event.id is not None:
-                self._last_event_id = event.id
+        parts = [event.data for event in self._sequence.check(events)]
         if not parts:
             return
         now_s = self._loop.time()
@@ -341,9 +331,3 @@
             raise AttemptFailed(Execution.UNKNOWN, str(error)) from error
         if events:
             yield events
-
-
-def _number_key(digits: bytes) -> tuple[int, bytes]:
-    """Return a key that orders decimal numbers, however long they are."""
-    significant = digits.lstrip(b"0")
-    return len(significant), significant
--- a/tests/dispatch/test_resumed_streams.py
+++ b/tests/dispatch/test_resumed_streams.py
@@ -4,6 +4,8 @@
 from dataclasses import replace
 from typing import NamedTuple
 
+import pytest
+
 from gentianhoist.fleet import Idempotency
 from gentianhoist.http1 import (
     AcquiredConnection,
@@ -141,3 +143,40 @@
         assert received.responder.status == 200
         assert received.responder.body == b""
         assert received.is_complete
+
+
+class TestNotResumed:
+    # Guards against: events are dropped from a stream that was never resumed.
+    @pytest.mark.parametrize("ids", [(1, 2, 2, 3), (5, 1, 2), (1, 1, 1), (1, 2, 1, 2)])
+    @pytest.mark.parametrize("idempotency", list(Idempotency))
+    def test_stream_is_passed_on_as_it_is(self, ids, idempotency):
+        received = relay(Served(events(*ids)), idempotency=idempotency)
+        assert received.responder.body == events(*ids)
+        assert received.is_complete
+
+    # Guards against: a stream that can't be resumed is taken for a resumed one.
+    def test_last_event_id_does_not_count_where_streams_are_not_resumed(self):
+        received = relay(
+            Served(events(1, 2, 3)),
+            last_event_id=b"2",
+            idempotency=Idempotency.NON_IDEMPOTENT,
+        )
+        assert received.responder.body == events(1, 2, 3)
+        assert received.last_event_ids == [b"2"]
+
+
+class TestResumedByTheCaller:
+    def test_repeats_at_the_beginning_are_dropped(self):
+        received = relay(Served(events(1, 2, 3, 4)), last_event_id=b"2")
+        assert received.responder.body == events(3, 4)
+        assert received.is_complete
+
+    # Guards against: a repeat in the middle of a server's body is dropped from it.
+    def test_repeats_later_are_passed_on(self):
+        received = relay(Served(events(3, 4, 4, 5)), last_event_id=b"2")
+        assert received.responder.body == events(3, 4, 4, 5)
+
+    def test_stream_without_ids_is_passed_on(self):
+        received = relay(Served(WITHOUT_ID * 3), last_event_id=b"2")
+        assert received.responder.body == WITHOUT_ID * 3
+        assert received.is_complete
--- a/tests/platform_adapter/test_answers.py
+++ b/tests/platform_adapter/test_answers.py
@@ -33,6 +33,12 @@
         status, _, body = await deployment.send("/brief/x", "s1", **PROMPT)
         assert (status, body) == (200, STREAM)
 
+    # Guards against: events whose ids repeat are missing in the server's body.
+    async def test_stream_with_repeated_ids_is_passed_on(self, deployment):
+        set_raw(deployment, RawResponse(STREAM * 2), "e0", "e1")
+        status, _, body = await deployment.send("/brief/x", "s1", **PROMPT)
+        assert (status, body) == (200, STREAM * 2)
+
     async def test_response_that_is_reset_is_not_complete(self, deployment):
         set_raw(deployment, RawResponse(b"do", is_reset=True), "d0", "d1")
         status, _, _ = await deployment.send("/press/x", "p1")
@@ -94,10 +100,10 @@
     # Guards against: a number that is too long for an integer fails the request.
     async def test_stream_with_many_digits_is_passed_on(self, deployment):
         event = b"id: %b\ndata: x\n\n" % (b"9" * 10_000)
-        set_raw(deployment, RawResponse(event + event[:3] + event[4:]), "e0", "e1")
+        sent = event + event[:3] + event[4:]
+        set_raw(deployment, RawResponse(sent), "e0", "e1")
         status, _, body = await deployment.send("/brief/x", "n1", **PROMPT)
-        assert status == 200
-        assert body.startswith(event)
+        assert (status, body) == (200, sent)
 
     async def test_response_is_repeated_elsewhere(self, deployment):
         set_raw(deployment, RawResponse(b"", b"a" * 100_000), "d0")
