Resume a stream only after an event whose id says where to go on

Callers of a stream that was resumed elsewhere got events twice: those without an id, or with an id that is no number, came again from the second server, and a stream of which only such events had been passed on was begun anew in the same response.

Cause: a stream was resumed at the last id that was seen, whatever was passed on after it. Now it is resumed only if the last event has a number as id and all ids increased; otherwise the response is broken off, and a silent engine is waited for, as for a stream that can't be resumed. In a resumed part an event without an id belongs to the one with an id before it; if there is none, nothing says whether the caller has it, and the attempt fails. Blocks of comments are no events and no obstacle.

--- a/gentianhoist/dispatch/_events.py
+++ b/gentianhoist/dispatch/_events.py
@@ -12,6 +12,7 @@
 _BLANK_LINE = re.compile(rb"\n\r?\n")
 _MAX_BLANK_LINE_BYTES = 3
 _LINE_ENDS = b"\r\n"
+_FIELD = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
 _ID_FIELD = re.compile(rb"(?:^|[\r\n])id(?::([^\r\n]*))?[\r\n]")
 
 
@@ -27,6 +28,11 @@
     data: bytes
     id: bytes | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has comments only, which callers ignore."""
+        return self.id is None and _FIELD.search(self.data) is None
+
 
 class EventReader:
     """Buffers bytes and returns complete events.
--- a/gentianhoist/dispatch/_resumption.py
+++ b/gentianhoist/dispatch/_resumption.py
@@ -2,14 +2,28 @@
 
 from __future__ import annotations
 
+from typing import NamedTuple
+
 from gentianhoist.dispatch._events import StreamEvent
 
-__all__ = ["EventSequence"]
+__all__ = ["CheckedEvents", "EventSequence"]
 
 # Longer ids are not taken for numbers.
 _MAX_ID_DIGITS = 20
 
 
+class CheckedEvents(NamedTuple):
+    """What becomes of some events.
+
+    Attributes:
+        accepted: Events to pass on.
+        fault: Why the part must not go on after them, None if it may.
+    """
+
+    accepted: list[StreamEvent]
+    fault: str | None
+
+
 class EventSequence:
     """The events passed on to one caller, from the responses of several servers.
 
@@ -24,19 +38,35 @@
     def __init__(self, last_event_id: bytes | None, *, may_resume: bool) -> None:
         self._last_event_id = last_event_id
         self._may_resume = may_resume
+        self._has_events = False
+        # Whether the last event has a number as id, and all ids so far increased.
+        self._is_last_known = False
+        self._is_increasing = True
+        self._greatest = -1
+        self._is_joined = False
         # Set at the beginning of a resumed part only.
         self._resumed_at: int | None = None
+        self._last_repeat: int | None = None
 
     @property
     def last_event_id(self) -> bytes | None:
         """Id of the last event that the caller has, None without one."""
         return self._last_event_id
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether the events so far determine where another server has to go on."""
+        if not self._has_events:
+            return True
+        return self._is_last_known and self._is_increasing
+
     def begin_part(self) -> None:
         """Begin the response of another server."""
+        self._is_joined = self._has_events
+        self._last_repeat = None
         self._resumed_at = _number(self._last_event_id) if self._may_resume else None
 
-    def check(self, events: list[StreamEvent]) -> list[StreamEvent]:
+    def check(self, events: list[StreamEvent]) -> CheckedEvents:
         """Decide which of the next events of the part are passed on.
 
         Args:
@@ -44,23 +74,51 @@
         """
         accepted = []
         for event in events:
-            if self._is_new(event):
+            try:
+                is_new = self._is_new(event)
+            except ValueError as error:
+                return CheckedEvents(accepted, str(error))
+            if is_new:
                 self._record(event)
                 accepted.append(event)
-        return accepted
+        return CheckedEvents(accepted, None)
 
     def _is_new(self, event: StreamEvent) -> bool:
-        number = _number(event.id)
-        if self._resumed_at is None or number is None:
+        if event.is_comment:
             return True
-        if number <= self._resumed_at:
-            return False
-        self._resumed_at = None
+        number = _number(event.id)
+        if self._resumed_at is not None:
+            if self._is_repeat(number, self._resumed_at):
+                return False
+            self._resumed_at = self._last_repeat = None
         return True
 
+    def _is_repeat(self, number: int | None, resumed_at: int) -> bool:
+        """Whether the caller has an event at the beginning of a resumed part."""
+        if number is None:
+            if self._last_repeat is not None:
+                return self._last_repeat != resumed_at
+            if self._is_joined:
+                raise ValueError("the resumed stream begins without a number as id")
+            return False
+        if number <= resumed_at:
+            self._last_repeat = number
+            return True
+        return False
+
     def _record(self, event: StreamEvent) -> None:
-        if event.id is not None:
-            self._last_event_id = event.id
+        if event.is_comment:
+            return
+        self._has_events = True
+        number = _number(event.id)
+        self._is_last_known = number is not None
+        if number is None:
+            return
+        self._last_event_id = event.id
+        if number > self._greatest:
+            self._greatest = number
+        else:
+            self._is_increasing = False
 
 
 def _number(id_: bytes | None) -> int | None:
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -97,7 +97,7 @@
                 writing_s = self._progress.writing_s(self._loop.time())
                 if writing_s <= _MAX_SUSPECT_WRITING_S:
                     await self.report_loss(engine, failure)
-                if not await self.may_retry(failure):
+                if not self._sequence.can_resume or not await self.may_retry(failure):
                     return self._end_after_failure(failure)
             finally:
                 self._placer.release(reserved)
@@ -232,7 +232,11 @@
 
     def _stall_deadline_s(self) -> float:
         request = self._request
-        if not request.idempotent or not request.may_run_again:
+        if (
+            not request.idempotent
+            or not request.may_run_again
+            or not self._sequence.can_resume
+        ):
             return request.deadline_s
         ratio = self._state.policy.stall_timeout_ratio
         timeout_s = max(_MIN_STALL_TIMEOUT_S, ratio * request.route.pause_goal_s)
@@ -242,9 +246,15 @@
         self, events: list[StreamEvent], response: ServerResponse
     ) -> None:
         """Forward the events that the caller doesn't have yet."""
-        parts = [event.data for event in self._sequence.check(events)]
-        if not parts:
-            return
+        checked = self._sequence.check(events)
+        if checked.accepted:
+            await self._send_events(checked.accepted, response)
+        if checked.fault is not None:
+            raise AttemptFailed(Execution.UNKNOWN, checked.fault)
+
+    async def _send_events(
+        self, events: list[StreamEvent], response: ServerResponse
+    ) -> None:
         now_s = self._loop.time()
         if self._first_event_s is None:
             self._first_event_s = now_s - self._request.call.received_s
@@ -255,8 +265,8 @@
             )
         self._start_response(response)
         self._request.last_event_s = now_s
-        self._events_forwarded += len(parts)
-        await self._responder.send_chunk(b"".join(parts))
+        self._events_forwarded += len(events)
+        await self._responder.send_chunk(b"".join(event.data for event in events))
 
     def _start_response(self, response: ServerResponse) -> None:
         if not self._responder.started:
--- a/tests/dispatch/test_resumed_streams.py
+++ b/tests/dispatch/test_resumed_streams.py
@@ -180,3 +180,60 @@
         received = relay(Served(WITHOUT_ID * 3), last_event_id=b"2")
         assert received.responder.body == WITHOUT_ID * 3
         assert received.is_complete
+
+
+class TestWithoutIds:
+    # Guards against: events without an id come twice, or are lost, as nothing says
+    # where the stream has to go on.
+    @pytest.mark.parametrize(
+        "first",
+        [
+            WITHOUT_ID,
+            events(1) + WITHOUT_ID,
+            b"id: a\ndata: x\n\n",
+            events(1) + b"id\ndata: x\n\n",
+            events(1, 2, 2),
+            events(2, 1),
+        ],
+    )
+    def test_stream_is_not_resumed_at_an_unknown_event(self, first):
+        received = relay(Served(first, is_complete=False), Served(first + events(8, 9)))
+        assert received.responder.body == first
+        assert received.responder.aborted
+        assert len(received.last_event_ids) == 1
+
+    def test_events_without_ids_before_the_last_id_are_no_obstacle(self):
+        received = relay(
+            Served(events(1) + WITHOUT_ID + events(2), is_complete=False),
+            Served(events(3)),
+        )
+        assert received.responder.body == events(1) + WITHOUT_ID + events(2, 3)
+        assert received.is_complete
+
+    # Guards against: an event that may come twice is passed on in a resumed stream.
+    @pytest.mark.parametrize("second", [WITHOUT_ID, b"id: c\ndata: x\n\n"])
+    def test_resumed_stream_begins_with_an_id(self, second):
+        received = relay(
+            Served(events(1, 2), is_complete=False), Served(second + events(3))
+        )
+        assert received.responder.body == events(1, 2)
+        assert received.responder.aborted
+
+    # Guards against: an event without an id comes twice when it follows a repeat.
+    def test_event_without_an_id_belongs_to_the_one_before(self):
+        received = relay(
+            Served(events(1) + WITHOUT_ID + events(2), is_complete=False),
+            Served(events(1) + WITHOUT_ID + events(2) + WITHOUT_ID + events(3)),
+        )
+        body = events(1) + WITHOUT_ID + events(2) + WITHOUT_ID + events(3)
+        assert received.responder.body == body
+        assert received.is_complete
+
+    # Guards against: a stream that is kept alive by comments isn't resumed.
+    def test_comments_are_no_events(self):
+        received = relay(
+            Served(events(1, 2) + COMMENT, is_complete=False),
+            Served(COMMENT + events(3)),
+        )
+        assert received.responder.body == events(1, 2) + COMMENT * 2 + events(3)
+        assert received.is_complete
