Check that a resumed stream goes on with the next event

A caller got a stream that looked complete and lacked an event, if the server at which it was resumed went on later than after the last event passed on, or began from its start and left that one out. One that repeated an event later was shortened to look whole.

Cause: every greater id was taken for the next one. Ids are only said to increase, so that the step can't be required in general. Two checks need no more than the bytes: a part that repeats events must repeat the last one passed on before it goes on; and if all steps so far were equal, the part goes on no more than one such step later (a shorter one can hold no gap). Ids that repeat later are a fault of the part. The attempt then fails like a lost connection: one more if allowed, from the event at which the order was still right, else the response is broken off. Not told is a gap after a single event, or with steps that differ. A sound stream whose steps were equal up to the resumption and grow right there is broken off.

--- a/gentianhoist/dispatch/_resumption.py
+++ b/gentianhoist/dispatch/_resumption.py
@@ -28,7 +28,9 @@
     """The events passed on to one caller, from the responses of several servers.
 
     The response of each server is a part of the stream. Events are dropped only at the
-    beginning of a resumed part, up to the event at which it was resumed.
+    beginning of a resumed part, up to the event at which it was resumed. Ids increase,
+    in steps that only the events themselves show: a resumed part goes on no more than
+    one step later if all steps so far were equal. Otherwise a gap can't be told.
 
     Args:
         last_event_id: Id of the last event that the caller received before, if any.
@@ -43,7 +45,9 @@
         self._is_last_known = False
         self._is_increasing = True
         self._greatest = -1
+        self._steps: set[int] = set()
         self._is_joined = False
+        self._previous_in_part: int | None = None
         # Set at the beginning of a resumed part only.
         self._resumed_at: int | None = None
         self._last_repeat: int | None = None
@@ -63,6 +67,7 @@
     def begin_part(self) -> None:
         """Begin the response of another server."""
         self._is_joined = self._has_events
+        self._previous_in_part = None
         self._last_repeat = None
         self._resumed_at = _number(self._last_event_id) if self._may_resume else None
 
@@ -91,6 +96,8 @@
             if self._is_repeat(number, self._resumed_at):
                 return False
             self._resumed_at = self._last_repeat = None
+        elif self._is_joined and number is not None and number <= self._greatest:
+            raise ValueError("the resumed stream repeats an event")
         return True
 
     def _is_repeat(self, number: int | None, resumed_at: int) -> bool:
@@ -104,8 +111,18 @@
         if number <= resumed_at:
             self._last_repeat = number
             return True
+        if self._is_joined and not self._follows(number, resumed_at):
+            raise ValueError("the resumed stream lacks an event")
         return False
 
+    def _follows(self, number: int, resumed_at: int) -> bool:
+        if self._last_repeat is not None:
+            return self._last_repeat == resumed_at
+        if len(self._steps) != 1:
+            return True
+        # The last step of a stream may be shorter.
+        return number - resumed_at <= min(self._steps)
+
     def _record(self, event: StreamEvent) -> None:
         if event.is_comment:
             return
@@ -119,6 +136,9 @@
             self._greatest = number
         else:
             self._is_increasing = False
+        if self._previous_in_part is not None and len(self._steps) <= 1:
+            self._steps.add(number - self._previous_in_part)
+        self._previous_in_part = number
 
 
 def _number(id_: bytes | None) -> int | None:
--- a/tests/dispatch/test_resumed_streams.py
+++ b/tests/dispatch/test_resumed_streams.py
@@ -182,6 +182,58 @@
         assert received.is_complete
 
 
+class TestResumedElsewhere:
+    @pytest.mark.parametrize("ids", [(3, 4), (2, 3, 4), (1, 2, 3, 4)])
+    def test_stream_goes_on_after_the_last_event(self, ids):
+        received = relay(
+            Served(events(1, 2) + b"id: 3\nda", is_complete=False), Served(events(*ids))
+        )
+        assert received.responder.body == events(1, 2, 3, 4)
+        assert received.last_event_ids == [b"", b"2"]
+        assert received.is_complete
+
+    # Guards against: a resumed stream lacks an event and looks complete.
+    @pytest.mark.parametrize(
+        ("first", "second"),
+        [
+            (events(1, 2), events(4, 5)),
+            (events(10, 20), events(50, 60)),
+            (events(1, 2, 3), events(1, 2, 4)),
+            (events(1, 2, 3), events(1, 4)),
+            (events(1), events(0, 2)),
+        ],
+    )
+    def test_stream_with_a_gap_is_broken_off(self, first, second):
+        received = relay(Served(first, is_complete=False), Served(second))
+        assert received.responder.body == first
+        assert received.responder.aborted
+
+    # Guards against: a sound stream is refused since its ids have steps of their own.
+    @pytest.mark.parametrize(
+        ("first", "second"),
+        [
+            (events(10, 20), events(30, 40)),
+            (events(10, 20), events(25)),
+            (events(1, 2, 5), events(9, 10)),
+            (events(1), events(4, 5)),
+            (events(3, 7), events(3, 7, 8)),
+        ],
+    )
+    def test_ids_need_only_increase_as_before(self, first, second):
+        received = relay(Served(first, is_complete=False), Served(second))
+        assert received.responder.body == first + second.removeprefix(first)
+        assert received.is_complete
+
+    # Guards against: a resumed stream holds a piece twice.
+    @pytest.mark.parametrize("second", [events(3, 4, 4), events(3, 4, 2, 5)])
+    def test_later_repeats_break_the_stream_off(self, second):
+        received = relay(
+            Served(events(1, 2), is_complete=False), Served(second, is_complete=True)
+        )
+        assert received.responder.body == events(1, 2, 3, 4)
+        assert received.responder.aborted
+
+
 class TestWithoutIds:
     # Guards against: events without an id come twice, or are lost, as nothing says
     # where the stream has to go on.
