Judge the end of a resumed stream by the event where it was resumed

Callers saw both kinds of wrong end. A stream looked complete whose second server began from its start and ended before the last event that had been passed on. And a whole stream whose end alone was lost was broken off, as was answered 502 a caller that resumed it after its last event: the server has nothing left to send, which was taken for a lost connection.

Cause: any event, dropped or not, made the end count as complete, and none as a failure. Now a resumed part that repeats events must have reached the one at which it was resumed, and a part without an event is the end if the response states its end, by a length or the last chunk. Without these it stays a failure, since a lost connection looks the same. A stream that was not resumed still needs an event.

--- a/gentianhoist/dispatch/_resumption.py
+++ b/gentianhoist/dispatch/_resumption.py
@@ -47,6 +47,7 @@
         self._greatest = -1
         self._steps: set[int] = set()
         self._is_joined = False
+        self._is_part_empty = True
         self._previous_in_part: int | None = None
         # Set at the beginning of a resumed part only.
         self._resumed_at: int | None = None
@@ -67,6 +68,7 @@
     def begin_part(self) -> None:
         """Begin the response of another server."""
         self._is_joined = self._has_events
+        self._is_part_empty = True
         self._previous_in_part = None
         self._last_repeat = None
         self._resumed_at = _number(self._last_event_id) if self._may_resume else None
@@ -79,6 +81,7 @@
         """
         accepted = []
         for event in events:
+            self._is_part_empty = False
             try:
                 is_new = self._is_new(event)
             except ValueError as error:
@@ -88,6 +91,21 @@
                 accepted.append(event)
         return CheckedEvents(accepted, None)
 
+    def end_fault(self, *, has_stated_end: bool) -> str | None:
+        """Return why the end of the part isn't the end of the stream, or None.
+
+        Args:
+            has_stated_end: Whether the response states its end; otherwise a lost
+                connection looks the same.
+        """
+        if self._last_repeat != self._resumed_at and self._last_repeat is not None:
+            return "the stream ended before the event at which it was resumed"
+        if not self._is_part_empty:
+            return None
+        if self._resumed_at is not None and has_stated_end:
+            return None
+        return "the stream ended without an event"
+
     def _is_new(self, event: StreamEvent) -> bool:
         if event.is_comment:
             return True
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -22,7 +22,7 @@
 from gentianhoist.dispatch._sender import Sender
 from gentianhoist.exceptions import HoistError
 from gentianhoist.fleet import BackendServer
-from gentianhoist.http1 import Responder
+from gentianhoist.http1 import Responder, ResponseFraming
 
 __all__ = ["StreamRelay"]
 
@@ -202,11 +202,12 @@
                 "the stream ended inside an event",
                 connection_lost=True,
             )
-        if first:
+        fault = self._sequence.end_fault(
+            has_stated_end=attempt.trace.framing != ResponseFraming.CLOSE.value
+        )
+        if fault is not None:
             raise AttemptFailed(
-                Execution.UNKNOWN,
-                "the stream ended without an event",
-                connection_lost=True,
+                Execution.UNKNOWN, fault, connection_lost=not self._progress.events
             )
         if self._responder.started:
             await self._responder.send_chunk(reader.incomplete)
--- a/tests/dispatch/test_resumed_streams.py
+++ b/tests/dispatch/test_resumed_streams.py
@@ -289,3 +289,41 @@
         )
         assert received.responder.body == events(1, 2) + COMMENT * 2 + events(3)
         assert received.is_complete
+
+
+class TestEnd:
+    # Guards against: a whole stream is broken off since its end was lost.
+    def test_resumed_stream_with_nothing_left_is_complete(self):
+        received = relay(Served(events(1, 2), is_complete=False), Served(b""))
+        assert received.responder.body == events(1, 2)
+        assert received.is_complete
+
+    def test_a_close_without_an_event_is_no_end(self):
+        received = relay(
+            Served(events(1, 2), is_complete=False),
+            Served(b"", framing=ResponseFraming.CLOSE),
+        )
+        assert received.responder.aborted
+
+    # Guards against: a caller that has the whole stream gets an error for its rest.
+    def test_nothing_left_for_the_caller_is_a_response(self):
+        received = relay(Served(b""), last_event_id=b"5")
+        assert received.responder.status == 200
+        assert received.is_complete
+
+    # Guards against: a resumed stream looks complete whose server ended before the
+    # event that the caller has.
+    @pytest.mark.parametrize("second", [events(1), events(1, 2)])
+    def test_end_before_the_resumed_event_is_no_end(self, second):
+        received = relay(Served(events(1, 2, 3), is_complete=False), Served(second))
+        assert received.responder.body == events(1, 2, 3)
+        assert received.responder.aborted
+
+    def test_end_at_the_resumed_event_is_the_end(self):
+        received = relay(Served(events(1, 2), is_complete=False), Served(events(1, 2)))
+        assert received.responder.body == events(1, 2)
+        assert received.is_complete
+
+    def test_stream_that_never_had_an_event_is_no_success(self):
+        received = relay(Served(b""), Served(b""))
+        assert received.responder.status == 502
--- a/tests/platform_adapter/test_answers.py
+++ b/tests/platform_adapter/test_answers.py
@@ -128,3 +128,10 @@
             "/brief/x", "s1", Last_Event_Id="5", **PROMPT
         )
         assert (status, body) == (200, b"")
+
+    # Guards against: a caller that has the whole stream gets an error for its rest.
+    async def test_stream_with_nothing_left_is_empty(self, deployment):
+        status, _, body = await deployment.send(
+            "/brief/x", "s1", Last_Event_Id="5", **PROMPT
+        )
+        assert (status, body) == (200, b"")
