Take the last id of an event for its id

An event with several id fields has the last one as its id, by the standard of server-sent events; a stream was resumed at the first, from which a server sends other events. No server of the project is known to send such events.

--- a/gentianhoist/dispatch/_events.py
+++ b/gentianhoist/dispatch/_events.py
@@ -13,7 +13,7 @@
 _MAX_BLANK_LINE_BYTES = 3
 _LINE_ENDS = b"\r\n"
 _FIELD = re.compile(rb"(?:^|[\r\n])[^:\r\n]")
-_ID_FIELD = re.compile(rb"(?:^|[\r\n])id(?::([^\r\n]*))?[\r\n]")
+_ID_FIELD = re.compile(rb"(?:^|[\r\n])id(?::([^\r\n]*))?(?=[\r\n])")
 
 
 class StreamEvent(NamedTuple):
@@ -22,7 +22,7 @@
     Attributes:
         data: Bytes of the event including the blank line that ends it, and those before
             it that belong to no event.
-        id: Value of the id field, None without one.
+        id: Value of the last id field, None without one.
     """
 
     data: bytes
@@ -99,5 +99,5 @@
 
 
 def _event_id(event: bytes) -> bytes | None:
-    match = _ID_FIELD.search(event)
-    return None if match is None else (match[1] or b"").strip()
+    ids = _ID_FIELD.findall(event)
+    return ids[-1].strip() if ids else None
--- a/tests/dispatch/test_events.py
+++ b/tests/dispatch/test_events.py
@@ -71,3 +71,9 @@
     def test_an_event_with_many_digits_is_read(self):
         (event,) = EventReader().feed(b"id: %b\n\n" % (b"9" * 100_000))
         assert len(event.id) == 100_000
+
+    # Guards against: a stream is resumed at an id that another one replaced.
+    @pytest.mark.parametrize("separator", [b"\n", b"\r\n", b"\r", b"\ndata: x\n"])
+    def test_the_last_id_of_an_event_counts(self, separator):
+        (event,) = EventReader().feed(b"id: 1" + separator + b"id: 2\n\n")
+        assert event.id == b"2"
