--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -321,6 +321,7 @@
     group: str = "g",
     timeout_s: float = 4.0,
     goal_s: float = 0.2,
+    max_executing_servers: int = 2,
 ) -> RoutingConfiguration:
     route = Route(
         "r",
@@ -334,7 +335,7 @@
         pause_goal_s=0.25,
         silence_limit_s=timeout_s / 2,
         priority=1,
-        max_executing_servers=2,
+        max_executing_servers=max_executing_servers,
         anonymous=False,
     )
     groups = {
--- a/tests/dispatch/test_resumed_streams.py
+++ b/tests/dispatch/test_resumed_streams.py
@@ -120,11 +120,14 @@
     *script: Served,
     last_event_id: bytes | None = None,
     idempotency: Idempotency = Idempotency.IDEMPOTENT,
+    max_servers: int = 2,
 ) -> Received:
     """Serve one stream; each send gets the next response of the script."""
     loop = VirtualTimeLoop()
     harness = DispatcherHarness(loop, iter([]))
-    harness.state.routing.update_if_newer(configuration(idempotency, streaming=True))
+    harness.state.routing.update_if_newer(
+        configuration(idempotency, streaming=True, max_executing_servers=max_servers)
+    )
     last_event_ids: list[bytes] = []
     pool = ScriptedPool(list(script), last_event_ids)
     harness.state.pool = lambda server, group: pool  # type: ignore[assignment,method-assign,return-value]
@@ -208,6 +211,18 @@
         assert received.responder.body == first
         assert received.responder.aborted
 
+    # Guards against: a stream is given up though another server goes on correctly.
+    def test_stream_with_a_gap_is_resumed_at_another_server(self):
+        received = relay(
+            Served(events(1, 2), is_complete=False),
+            Served(events(4, 5)),
+            Served(events(3, 4, 5)),
+            max_servers=3,
+        )
+        assert received.responder.body == events(1, 2, 3, 4, 5)
+        assert received.last_event_ids == [b"", b"2", b"2"]
+        assert received.is_complete
+
     # Guards against: a sound stream is refused since its ids have steps of their own.
     @pytest.mark.parametrize(
         ("first", "second"),
--- a/tests/platform_adapter/test_answers.py
+++ b/tests/platform_adapter/test_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import aiohttp
 import pytest
 
 from gentianhoist_platform.standins import RawResponse
@@ -64,6 +65,24 @@
             assert (status, body) == (200, STREAM)
 
 
+class TestWithGap:
+    """Another engine goes on later than after the last event passed on."""
+
+    # Guards against: a resumed stream lacks an event and looks complete.
+    async def test_resumed_stream_is_broken_off(self, deployment):
+        deployment.servers["e0"].faults.cut_after_events = 2
+        later = b"".join(STREAM.partition(b"id: 4")[1:])
+        set_raw(deployment, RawResponse(later), "e1")
+        for number in range(40):
+            try:
+                response = await deployment.send("/brief/x", f"s{number}", **PROMPT)
+            except aiohttp.ClientError:
+                return
+            # The whole body of the other engine.
+            assert response[2] == later
+        pytest.fail("no stream began at the engine that cuts it")
+
+
 class TestWithoutEnd:
     """The server sends bytes that are no response until its caller closes."""
 
