Test other statuses where a stream is resumed

They were no fault: the tests pass with the dispatcher as it is. The head of the first server stays, and the body of another status is never a part of the stream.

--- a/tests/dispatch/test_resumed_streams.py
+++ b/tests/dispatch/test_resumed_streams.py
@@ -38,11 +38,13 @@
         body: The bytes after its head.
         is_complete: Whether the body ends, or the connection is lost.
         framing: How the end of the body is found.
+        status: Status of its head.
     """
 
     body: bytes
     is_complete: bool = True
     framing: ResponseFraming = ResponseFraming.CHUNKED
+    status: int = 200
 
 
 class Received(NamedTuple):
@@ -78,7 +80,8 @@
 
     async def read_head(self) -> ResponseHead:
         await asyncio.sleep(0.01)
-        return ResponseHead(200, [(b"does", ServerBehaviour.ANSWER.value.encode())])
+        status = self._served.status
+        return ResponseHead(status, [(b"does", ServerBehaviour.ANSWER.value.encode())])
 
     async def read_data(self) -> bytes:
         if self._parts:
@@ -249,6 +252,31 @@
         assert received.responder.aborted
 
 
+class TestStatus:
+    """The server at which a stream is resumed responds with another status."""
+
+    # Guards against: the body of a failure is passed on as a part of the stream.
+    @pytest.mark.parametrize("status", [204, 206, 400, 500])
+    def test_stream_is_broken_off(self, status):
+        received = relay(
+            Served(events(1, 2), is_complete=False), Served(events(3), status=status)
+        )
+        assert received.responder.status == 200
+        assert received.responder.body == events(1, 2)
+        assert received.responder.aborted
+
+    def test_stream_is_resumed_at_a_third_server(self):
+        received = relay(
+            Served(events(1, 2), is_complete=False),
+            Served(b"error", status=500),
+            Served(events(3)),
+            max_servers=3,
+        )
+        assert received.responder.status == 200
+        assert received.responder.body == events(1, 2, 3)
+        assert received.is_complete
+
+
 class TestWithoutIds:
     # Guards against: events without an id come twice, or are lost, as nothing says
     # where the stream has to go on.
