Check the order also where the caller resumed the stream

A caller that resumed a stream after event 3 got 5 from a server that began from its start and sent 1, 2, 5: its repeats lack the caller's event, so that 4 may be missing too. Only a stream resumed by the entry was checked for that. The attempt fails now, as for one that ends before the caller's event.

The test of steps inside a part guards what holds already.

--- a/gentianhoist/dispatch/_resumption.py
+++ b/gentianhoist/dispatch/_resumption.py
@@ -129,7 +129,7 @@
         if number <= resumed_at:
             self._last_repeat = number
             return True
-        if self._is_joined and not self._follows(number, resumed_at):
+        if not self._follows(number, resumed_at):
             raise ValueError("the resumed stream lacks an event")
         return False
 
--- a/tests/dispatch/test_resumed_streams.py
+++ b/tests/dispatch/test_resumed_streams.py
@@ -182,6 +182,13 @@
         received = relay(Served(events(3, 4, 4, 5)), last_event_id=b"2")
         assert received.responder.body == events(3, 4, 4, 5)
 
+    # Guards against: a stream lacks an event that its server left out of the repeats.
+    @pytest.mark.parametrize("ids", [(1, 2, 5), (1, 2)])
+    def test_stream_without_the_callers_event_is_no_success(self, ids):
+        served = Served(events(*ids))
+        received = relay(served, served, last_event_id=b"3")
+        assert received.responder.status == 502
+
     def test_stream_without_ids_is_passed_on(self):
         received = relay(Served(WITHOUT_ID * 3), last_event_id=b"2")
         assert received.responder.body == WITHOUT_ID * 3
@@ -214,6 +221,17 @@
         assert received.responder.body == first
         assert received.responder.aborted
 
+    # Guards against: the distance between two parts is taken for the step of the ids.
+    def test_steps_are_learned_inside_a_part_only(self):
+        received = relay(
+            Served(events(1), is_complete=False),
+            Served(events(3, 4), is_complete=False),
+            Served(events(6)),
+            max_servers=3,
+        )
+        assert received.responder.body == events(1, 3, 4)
+        assert received.responder.aborted
+
     # Guards against: a stream is given up though another server goes on correctly.
     def test_stream_with_a_gap_is_resumed_at_another_server(self):
         received = relay(
