Don't take comments for the end of a resumed stream

A resumed stream without a length that held a comment and then ended looked complete, though nothing told its end from a lost connection: a comment counted as an event.

Before the change the test failed with "assert False" for aborted (1 failed, 61 passed); all 62 pass now.

--- a/gentianhoist/dispatch/_resumption.py
+++ b/gentianhoist/dispatch/_resumption.py
@@ -98,13 +98,15 @@
             has_stated_end: Whether the response states its end; otherwise a lost
                 connection looks the same.
         """
-        if self._last_repeat != self._resumed_at and self._last_repeat is not None:
+        if self._resumed_at is None:
+            is_end = not self._is_part_empty
+        elif self._last_repeat is None:
+            is_end = has_stated_end
+        elif self._last_repeat == self._resumed_at:
+            is_end = True
+        else:
             return "the stream ended before the event at which it was resumed"
-        if not self._is_part_empty:
-            return None
-        if self._resumed_at is not None and has_stated_end:
-            return None
-        return "the stream ended without an event"
+        return None if is_end else "the stream ended without an event"
 
     def _is_new(self, event: StreamEvent) -> bool:
         if event.is_comment:
--- a/tests/dispatch/test_resumed_streams.py
+++ b/tests/dispatch/test_resumed_streams.py
@@ -359,10 +359,12 @@
         assert received.responder.body == events(1, 2)
         assert received.is_complete
 
-    def test_a_close_without_an_event_is_no_end(self):
+    # Guards against: a lost connection is taken for the end of a resumed stream.
+    @pytest.mark.parametrize("body", [b"", COMMENT])
+    def test_a_close_without_an_event_is_no_end(self, body):
         received = relay(
             Served(events(1, 2), is_complete=False),
-            Served(b"", framing=ResponseFraming.CLOSE),
+            Served(body, framing=ResponseFraming.CLOSE),
         )
         assert received.responder.aborted
 
