--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -18,10 +18,11 @@
 from gentianhoist.dispatch._kv_reserver import ReservedPlacement
 from gentianhoist.dispatch._prompt_placer import PromptPlacer
 from gentianhoist.dispatch._request import Request
+from gentianhoist.dispatch._resumption import EventSequence
 from gentianhoist.dispatch._sender import Sender
 from gentianhoist.exceptions import HoistError
 from gentianhoist.fleet import BackendServer
-from gentianhoist.http1 import Responder
+from gentianhoist.http1 import Responder, ResponseFraming
 
 __all__ = ["StreamRelay"]
 
@@ -53,7 +54,9 @@
     ) -> None:
         super().__init__(context, request, responder)
         self._placer = PromptPlacer(context, request, self)
-        self._last_event_id = request.call.last_event_id
+        self._sequence = EventSequence(
+            request.call.last_event_id, may_resume=request.idempotent
+        )
         self._events_forwarded = 0
         self._longest_pause_s = 0.0
         self._progress = StreamProgress()
@@ -94,7 +97,7 @@
                 writing_s = self._progress.writing_s(self._loop.time())
                 if writing_s <= _MAX_SUSPECT_WRITING_S:
                     await self.report_loss(engine, failure)
-                if not await self.may_retry(failure):
+                if not self._sequence.can_resume or not await self.may_retry(failure):
                     return self._end_after_failure(failure)
             finally:
                 self._placer.release(reserved)
@@ -102,10 +105,11 @@
     async def _stream_from(self, reserved: ReservedPlacement) -> str:
         placement = reserved.placement
         self._progress = StreamProgress()
+        self._sequence.begin_part()
         options = SendOptions(
             None,
             0.0,
-            last_event_id=self._last_event_id,
+            last_event_id=self._sequence.last_event_id,
             urgency=reserved.urgency,
             helpers=reserved.helpers,
             decode_reservation_id=reserved.decode_reservation_id,
@@ -131,6 +135,7 @@
         finally:
             reserved.on_decode_engine_lost = None
             self.finish(attempt)
+        self._start_response(response)
         self._responder.end_chunked()
         self._log_served(reserved, trace)
         self._quarantine.report_completed(
@@ -197,23 +202,16 @@
                 "the stream ended inside an event",
                 connection_lost=True,
             )
-        if first:
+        fault = self._sequence.end_fault(
+            has_stated_end=attempt.trace.framing != ResponseFraming.CLOSE.value
+        )
+        if fault is not None:
             raise AttemptFailed(
-                Execution.UNKNOWN,
-                "the stream ended without an event",
-                connection_lost=True,
+                Execution.UNKNOWN, fault, connection_lost=not self._progress.events
             )
         if self._responder.started:
             await self._responder.send_chunk(reader.incomplete)
 
-    def _is_duplicate(self, event: StreamEvent) -> bool:
-        """Whether a resumed stream repeats a forwarded event; ids increase."""
-        if event.id is None or self._last_event_id is None:
-            return False
-        if not (event.id.isdigit() and self._last_event_id.isdigit()):
-            return event.id == self._last_event_id
-        return _number_key(event.id) <= _number_key(self._last_event_id)
-
     async def _next_chunk(self, attempt: Attempt, wait_deadline_s: float) -> bytes:
         while True:
             try:
@@ -235,7 +233,11 @@
 
     def _stall_deadline_s(self) -> float:
         request = self._request
-        if not request.idempotent or not request.may_run_again:
+        if (
+            not request.idempotent
+            or not request.may_run_again
+            or not self._sequence.can_resume
+        ):
             return request.deadline_s
         ratio = self._state.policy.stall_timeout_ratio
         timeout_s = max(_MIN_STALL_TIMEOUT_S, ratio * request.route.pause_goal_s)
@@ -245,27 +247,31 @@
         self, events: list[StreamEvent], response: ServerResponse
     ) -> None:
         """Forward the events that the caller doesn't have yet."""
-        parts = []
-        for event in events:
-            if self._is_duplicate(event):
-                continue
-            parts.append(event.data)
-            if event.id is not None:
-                self._last_event_id = event.id
-        if not parts:
-            return
+        checked = self._sequence.check(events)
+        if checked.accepted:
+            await self._send_events(checked.accepted, response)
+        if checked.fault is not None:
+            raise AttemptFailed(Execution.UNKNOWN, checked.fault)
+
+    async def _send_events(
+        self, events: list[StreamEvent], response: ServerResponse
+    ) -> None:
         now_s = self._loop.time()
-        if not self._responder.started:
-            self._responder.start_chunked(response.status, response.headers)
+        if self._first_event_s is None:
             self._first_event_s = now_s - self._request.call.received_s
             self._context.metrics.record_first_event(self._first_event_s)
         else:
             self._longest_pause_s = max(
                 self._longest_pause_s, now_s - (self._request.last_event_s or now_s)
             )
+        self._start_response(response)
         self._request.last_event_s = now_s
-        self._events_forwarded += len(parts)
-        await self._responder.send_chunk(b"".join(parts))
+        self._events_forwarded += len(events)
+        await self._responder.send_chunk(b"".join(event.data for event in events))
+
+    def _start_response(self, response: ServerResponse) -> None:
+        if not self._responder.started:
+            self._responder.start_chunked(response.status, response.headers)
 
     async def _retry_or_forward_error(
         self, attempt: Attempt, response: ServerResponse
@@ -336,9 +342,3 @@
             raise AttemptFailed(Execution.UNKNOWN, str(error)) from error
         if events:
             yield events
-
-
-def _number_key(digits: bytes) -> tuple[int, bytes]:
-    """Return a key that orders decimal numbers, however long they are."""
-    significant = digits.lstrip(b"0")
-    return len(significant), significant
--- a/tests/platform_adapter/test_answers.py
+++ b/tests/platform_adapter/test_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+import aiohttp
 import pytest
 
 from gentianhoist_platform.standins import RawResponse
@@ -63,6 +64,12 @@
         assert (status, body) == (200, b"done")
         assert headers["Content-Length"] == "4"
 
+    # Guards against: events whose ids repeat are missing in the server's body.
+    async def test_stream_with_repeated_ids_is_passed_on(self, deployment):
+        set_raw(deployment, RawResponse(STREAM * 2), "e0", "e1")
+        status, _, body = await deployment.send("/brief/x", "s1", **PROMPT)
+        assert (status, body) == (200, STREAM * 2)
+
     async def test_response_that_is_reset_is_not_complete(self, deployment):
         set_raw(deployment, RawResponse(b"do", is_reset=True), "d0", "d1")
         status, _, _ = await deployment.send("/press/x", "p1")
@@ -88,6 +95,24 @@
             assert (status, body) == (200, STREAM)
 
 
+class TestWithGap:
+    """Another engine goes on later than after the last event passed on."""
+
+    # Guards against: a resumed stream lacks an event and looks complete.
+    async def test_resumed_stream_is_broken_off(self, deployment):
+        deployment.servers["e0"].faults.cut_after_events = 2
+        later = b"".join(STREAM.partition(b"id: 4")[1:])
+        set_raw(deployment, RawResponse(later), "e1")
+        for number in range(40):
+            try:
+                response = await deployment.send("/brief/x", f"s{number}", **PROMPT)
+            except aiohttp.ClientError:
+                return
+            # The whole body of the other engine.
+            assert response[2] == later
+        pytest.fail("no stream began at the engine that cuts it")
+
+
 class TestWithoutEnd:
     """The server sends bytes that are no response until its caller closes."""
 
@@ -124,10 +149,10 @@
     # Guards against: a number that is too long for an integer fails the request.
     async def test_stream_with_many_digits_is_passed_on(self, deployment):
         event = b"id: %b\ndata: x\n\n" % (b"9" * 10_000)
-        set_raw(deployment, RawResponse(event + event[:3] + event[4:]), "e0", "e1")
+        sent = event + event[:3] + event[4:]
+        set_raw(deployment, RawResponse(sent), "e0", "e1")
         status, _, body = await deployment.send("/brief/x", "n1", **PROMPT)
-        assert status == 200
-        assert body.startswith(event)
+        assert (status, body) == (200, sent)
 
     async def test_response_is_repeated_elsewhere(self, deployment):
         set_raw(deployment, RawResponse(b"", b"a" * 100_000), "d0")
@@ -142,3 +167,20 @@
         status, _, _ = await asyncio.wait_for(deployment.send("/press/x", "p1"), 5.0)
         assert status == 502
         assert time.monotonic() - began_s < PROMPT_FAILURE_S
+
+
+class TestResumedByTheCaller:
+    # Guards against: the end of a body without a head, which is no response.
+    async def test_stream_without_a_new_event_has_a_head(self, deployment):
+        set_raw(deployment, RawResponse(STREAM), "e0", "e1")
+        status, _, body = await deployment.send(
+            "/brief/x", "s1", Last_Event_Id="5", **PROMPT
+        )
+        assert (status, body) == (200, b"")
+
+    # Guards against: a caller that has the whole stream gets an error for its rest.
+    async def test_stream_with_nothing_left_is_empty(self, deployment):
+        status, _, body = await deployment.send(
+            "/brief/x", "s1", Last_Event_Id="5", **PROMPT
+        )
+        assert (status, body) == (200, b"")
