Send 100 Continue only after the responses to earlier requests

Callers that pipeline a request with Expect: 100-continue behind another one got the interim response in the middle of the response that was being written, inside its chunks, or before it. A caller of HTTP/1.0, which knows no interim responses, took it for the final one.

Cause: on_headers_complete wrote it when the head was parsed, whichever request was to be answered next, and for each HTTP version.

ContinueExpectation keeps the expectation until no earlier request waits for its response. It ends with the first byte of the body, with the refusal of the request and with the connection's last response. encode_framing moves to CallerRequest, so that the server's module doesn't grow.

The tests of refusals behind a stream and of broken-off streams passed before too; they keep what holds.

--- a/gentianhoist/http1/_responder.py
+++ b/gentianhoist/http1/_responder.py
@@ -10,6 +10,8 @@
 
 __all__ = ["CallerConnection", "CallerRequest", "Responder"]
 
+_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
+
 
 @dataclass
 class CallerRequest:
@@ -31,6 +33,12 @@
     keep_alive: bool = True
     received_s: float = 0.0
 
+    def encode_framing(self) -> bytes:
+        """Encode a head after which a new parser reads the body of the request."""
+        headers = [item for item in self.headers if item[0].lower() in _FRAMING_HEADERS]
+        lines = [b"POST / HTTP/1.1", *(b"%b: %b" % item for item in headers)]
+        return b"\r\n".join(lines) + b"\r\n\r\n"
+
 
 class CallerConnection(Protocol):
     """Connection to a caller, as `Responder` uses it."""
--- a/gentianhoist/http1/_server.py
+++ b/gentianhoist/http1/_server.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from gentianhoist.http1._expectation import ContinueExpectation
 from gentianhoist.http1._input import SlicedInput
 from gentianhoist.http1._responder import CallerRequest, Responder
 from gentianhoist.http1.core import RequestLimits, get_header
@@ -32,7 +33,6 @@
 _BODY_TOO_LARGE = 413
 _HEADERS_TOO_LARGE = 431
 _CONNECT = b"CONNECT"
-_FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
 # Writes the response to a request.
@@ -66,6 +66,7 @@
         self._discards_input = False
         # From the head that offers an upgrade until the parser of its body has begun.
         self._in_declined_upgrade = False
+        self._expectation = ContinueExpectation(self._is_next_to_respond, self.write)
 
     @property
     def is_draining(self) -> bool:
@@ -156,20 +157,10 @@
                     return
                 (parsed_bytes,) = stop.args
                 self._parser = httptools.HttpRequestParser(self)
-                data = self._encode_framing() + bytes(data[parsed_bytes:])
+                data = self._request.encode_framing() + bytes(data[parsed_bytes:])
             else:
                 return
 
-    def _encode_framing(self) -> bytes:
-        """Encode a head after which a new parser reads the body of the request."""
-        headers = [
-            item
-            for item in self._request.headers
-            if item[0].lower() in _FRAMING_HEADERS
-        ]
-        lines = [b"POST / HTTP/1.1", *(b"%b: %b" % item for item in headers)]
-        return b"\r\n".join(lines) + b"\r\n\r\n"
-
     def eof_received(self) -> bool:
         # A caller that has closed its sending side is assumed not to read the response.
         return False
@@ -232,11 +223,10 @@
         declared_length = get_header(request.headers, b"content-length")
         if declared_length is not None and int(declared_length) > max_bytes:
             self._reject(_BODY_TOO_LARGE)
-        expectation = get_header(request.headers, b"expect")
-        if expectation and expectation.lower() == b"100-continue":
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._expectation.begin(request.headers, self._parser.get_http_version())
 
     def on_body(self, data: bytes) -> None:
+        self._expectation.end()
         self._section_bytes += len(data)
         self._overhead_bytes = 0
         if self._section_bytes > self._server.limits().max_body_bytes:
@@ -246,6 +236,7 @@
     def on_message_complete(self) -> None:
         if self._in_declined_upgrade:
             return
+        self._expectation.end()
         self._request.body = bytes(self._body)
         self._request.received_s = self._loop.time()
         self._body = bytearray()
@@ -304,6 +295,14 @@
 
     # Handling of one request at a time.
 
+    def _is_next_to_respond(self) -> bool:
+        """Whether the request that is being received has no other before it."""
+        return (
+            self._is_reading
+            and self._handler_task is None
+            and not self._pending_requests
+        )
+
     def _start_next_request(self) -> None:
         if (
             self._handler_task is not None
@@ -354,6 +353,7 @@
                 self._server.limits().idle_timeout_s, self._on_idle_timeout
             )
         self._start_next_request()
+        self._expectation.send_if_due()
 
     def _send_error(self, status: int) -> None:
         self._server.on_refused(status)
