Send streams to HTTP/1.0 callers with a length

A caller of HTTP/1.0 got a stream in chunks, and took their framing for a part of the body: "3\r\nabc\r\n..." for "abc".

Cause: the responder didn't know the version of the request.

For these callers the responder holds a stream back and sends it with its length once it has ended. One that ended with its connection instead would be delivered sooner, but would look complete when it is broken off, as the end of a process closes its connections without a reset. A held stream has the size limit of other responses; beyond it the connection is broken off.

Evidence: on, the tests of TestHttp10 failed with

assert b'Transfer-Encoding' not in b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nConnection: close'

and, for a stream that is broken off, with

AssertionError: assert b'HTTP/1.1 20...4\r\ndefg\r\n' == b''

They pass now. The test of the size limit came with the change.

--- a/gentianhoist/http1/_expectation.py
+++ b/gentianhoist/http1/_expectation.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable
 
-from gentianhoist.http1.core import Headers, get_header
+from gentianhoist.http1._responder import CallerRequest
+from gentianhoist.http1.core import get_header
 
 __all__ = ["ContinueExpectation"]
 
@@ -27,15 +28,16 @@
         self._write = write
         self._is_open = False
 
-    def begin(self, headers: Headers, http_version: str) -> None:
+    def begin(self, request: CallerRequest) -> None:
         """Take the headers of a request, and send the interim response if it is due.
 
         Args:
-            headers: All headers of the request.
-            http_version: Its version; an expectation in HTTP/1.0 is ignored.
+            request: The request, whose body isn't received yet.
         """
-        expectation = get_header(headers, b"expect") or b""
-        self._is_open = expectation.lower() == _EXPECTATION and http_version != "1.0"
+        expectation = get_header(request.headers, b"expect") or b""
+        self._is_open = (
+            expectation.lower() == _EXPECTATION and not request.predates_http_1_1
+        )
         self.send_if_due()
 
     def end(self) -> None:
--- a/gentianhoist/http1/_responder.py
+++ b/gentianhoist/http1/_responder.py
@@ -4,12 +4,15 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from gentianhoist.http1.core import Headers, encode_head
 
 __all__ = ["CallerConnection", "CallerRequest", "Responder"]
 
+# As large as a response may be that isn't a stream.
+_MAX_HELD_BYTES = 8 * 1024 * 1024
+_OLD_VERSIONS = frozenset({"0.9", "1.0"})
 _FRAMING_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 
 
@@ -24,6 +27,7 @@
         body: The body without its framing.
         keep_alive: Whether the request lets the connection stay open.
         received_s: When its last byte was read, in seconds on the event loop's clock.
+        http_version: HTTP version, without its name.
     """
 
     method: bytes = b""
@@ -32,6 +36,12 @@
     body: bytes = b""
     keep_alive: bool = True
     received_s: float = 0.0
+    http_version: str = "1.1"
+
+    @property
+    def predates_http_1_1(self) -> bool:
+        """Whether its version has no chunked bodies and no interim responses."""
+        return self.http_version in _OLD_VERSIONS
 
     def encode_framing(self) -> bytes:
         """Encode a head after which a new parser reads the body of the request."""
@@ -73,6 +83,12 @@
         ...
 
 
+class _HeldStream(NamedTuple):
+    status: int
+    headers: Headers
+    body: bytearray
+
+
 class Responder:
     """Writes the response to one request.
 
@@ -82,20 +98,30 @@
         connection: The caller's connection.
         keep_alive: Whether the connection may stay open after the response.
         head_only: Whether the method is HEAD, whose response has no body.
+        takes_chunks: Whether the caller's HTTP version has chunked bodies. Without
+            them, a stream is held back and sent with its length: one that ends with its
+            connection would look complete when it is broken off.
     """
 
     def __init__(
-        self, connection: CallerConnection, *, keep_alive: bool, head_only: bool
+        self,
+        connection: CallerConnection,
+        *,
+        keep_alive: bool,
+        head_only: bool,
+        takes_chunks: bool = True,
     ) -> None:
         self._connection = connection
         self._keep_alive = keep_alive
         self._head_only = head_only
+        self._held: _HeldStream | None = None
+        self._takes_chunks = takes_chunks
         self._started = False
         self._finished = False
 
     @property
     def started(self) -> bool:
-        """Whether any byte of the response was written."""
+        """Whether the response was begun, so that no other one may be sent."""
         return self._started
 
     @property
@@ -122,26 +148,43 @@
     def start_chunked(
         self, status: int, headers: Iterable[tuple[bytes, bytes]]
     ) -> None:
-        """Write the head of a chunked response, whose length isn't known yet.
+        """Begin a chunked response, whose length isn't known yet.
 
         Args:
             status: HTTP status code.
             headers: All headers except Transfer-Encoding.
         """
+        if not self._takes_chunks:
+            self._started = True
+            self._held = _HeldStream(status, [*headers], bytearray())
+            return
         self._write_head(status, [*headers, (b"Transfer-Encoding", b"chunked")])
 
     async def send_chunk(self, data: bytes) -> None:
         """Write a part of the body, then wait while the write buffer is full.
 
         Empty data is not written, since an empty chunk would end the response.
+
+        Raises:
+            OverflowError: If the caller's HTTP version has no chunked bodies, and the
+                response is too large to be held back.
         """
         if not data or self._head_only:
             return
+        if self._held is not None:
+            self._held.body.extend(data)
+            if len(self._held.body) > _MAX_HELD_BYTES:
+                raise OverflowError("the stream is too large for HTTP/1.0")
+            return
         self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
         await self._connection.wait_writable()
 
     def end_chunked(self) -> None:
         """Write the last chunk, which marks the response as complete."""
+        if self._held is not None:
+            status, headers, body = self._held
+            self.send_response(status, headers, bytes(body))
+            return
         if not self._head_only:
             self._connection.write(b"0\r\n\r\n")
         self._finish()
--- a/gentianhoist/http1/_server.py
+++ b/gentianhoist/http1/_server.py
@@ -223,7 +223,8 @@
         declared_length = get_header(request.headers, b"content-length")
         if declared_length is not None and int(declared_length) > max_bytes:
             self._reject(_BODY_TOO_LARGE)
-        self._expectation.begin(request.headers, self._parser.get_http_version())
+        request.http_version = self._parser.get_http_version()
+        self._expectation.begin(request)
 
     def on_body(self, data: bytes) -> None:
         self._expectation.end()
@@ -323,6 +324,7 @@
             self,
             keep_alive=request.keep_alive and not is_last,
             head_only=request.method == b"HEAD",
+            takes_chunks=not request.predates_http_1_1,
         )
         self._handler_task = self._loop.create_task(
             self._run_handler(request, responder)
--- a/tests/http1/test_response_framing.py
+++ b/tests/http1/test_response_framing.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from gentianhoist.http1 import CallerRequest, HttpServer, Responder
+from gentianhoist.http1 import CallerRequest, HttpServer, Responder, _responder
 from tests.http1.invalid_requests import LIMITS
 
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -155,6 +155,30 @@
         writer.close()
 
 
+class TestHttp10:
+    # Guards against: chunk framing that the caller takes for a part of the body.
+    async def test_stream_is_sent_with_a_length(self, server):
+        server.may_go_on.set()
+        received = await _exchange(server, _get(b"/stream", version=b"1.0"))
+        head, _, body = received.partition(b"\r\n\r\n")
+        assert head.startswith(b"HTTP/1.1 200 OK\r\n")
+        assert b"Transfer-Encoding" not in head
+        assert b"Content-Length: 7" in head
+        assert body == b"abcdefg"
+
+    # Guards against: a caller's stream is held back without a bound.
+    async def test_stream_that_is_too_large_is_broken_off(self, server, monkeypatch):
+        monkeypatch.setattr(_responder, "_MAX_HELD_BYTES", 6)
+        server.may_go_on.set()
+        assert await _exchange(server, _get(b"/stream", version=b"1.0")) == b""
+
+    # Guards against: a stream that is broken off looks complete without framing.
+    @pytest.mark.parametrize("target", [b"/torn", b"/cancelled"])
+    async def test_nothing_is_sent_of_a_stream_that_is_broken_off(self, server, target):
+        server.may_go_on.set()
+        assert await _exchange(server, _get(target, version=b"1.0")) == b""
+
+
 class TestBrokenOffStreams:
     # Guards against: a stream that is broken off looks complete, or is followed by the
     # response to the next request.
