Send no length or body with 204 and 304, nor a wrong length for HEAD

Callers got "Content-Length: 0" with 204, which HTTP forbids, with 304, where it is the length of another response, and for each HEAD that was forwarded, where it says that the body of a GET would be empty. Had a response with 204 come with a body, the caller would have taken it for the begin of the next response.

Cause: send_response wrote the length of the bytes it was given, and those, whatever the status.

It now writes neither for these statuses. For HEAD it leaves out the length unless it was given the body (errors of the entry itself); the length in a server's head isn't passed to it.

Evidence: before the change, four tests of TestBodilessResponses failed, with

assert b'Content-Length' not in b'HTTP/1.1 204 No Content\r\nContent-Length: 0' ... b'HTTP/1.1 204 No Content\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK...

They pass now. No server's response led to a body with 204: the parser of the client side drops it.

--- a/gentianhoist/http1/_responder.py
+++ b/gentianhoist/http1/_responder.py
@@ -10,6 +10,8 @@
 
 __all__ = ["CallerConnection", "CallerRequest", "Responder"]
 
+# A length in their responses would be that of another response, or invalid.
+_BODILESS_STATUSES = frozenset({204, 304})
 # As large as a response may be that isn't a stream.
 _MAX_HELD_BYTES = 8 * 1024 * 1024
 _OLD_VERSIONS = frozenset({"0.9", "1.0"})
@@ -137,11 +139,14 @@
         Args:
             status: HTTP status code.
             headers: All headers except Content-Length.
-            body: The body.
+            body: The body; empty if the status has none. Also empty for HEAD, if the
+                length that a GET would have isn't known.
         """
-        all_headers = [*headers, (b"Content-Length", b"%d" % len(body))]
+        all_headers = [*headers]
+        if status not in _BODILESS_STATUSES and (body or not self._head_only):
+            all_headers.append((b"Content-Length", b"%d" % len(body)))
         self._write_head(status, all_headers)
-        if not self._head_only:
+        if status not in _BODILESS_STATUSES and not self._head_only:
             self._connection.write(body)
         self._finish()
 
--- a/tests/http1/test_response_framing.py
+++ b/tests/http1/test_response_framing.py
@@ -56,6 +56,10 @@
                 await responder.send_chunk(b"abc")
             case b"/204" | b"/304":
                 responder.send_response(int(request.target[1:]), [], b"")
+            case b"/204-with-body":
+                responder.send_response(204, [], b"abc")
+            case b"/no-body":
+                responder.send_response(200, [], b"")
             case _:
                 responder.send_response(200, [], b"body of " + request.target)
 
@@ -179,6 +183,50 @@
         assert await _exchange(server, _get(target, version=b"1.0")) == b""
 
 
+class TestBodilessResponses:
+    # Guards against: a length that is no length of a body.
+    @pytest.mark.parametrize("target", [b"/204", b"/304"])
+    async def test_204_and_304_have_no_framing(self, server, target):
+        received = await _exchange(server, _get(target) + _get(b"/next", _CLOSE))
+        first, _, second = received.partition(b"\r\n\r\n")
+        assert first.startswith(b"HTTP/1.1 %b " % target[1:])
+        assert b"Content-Length" not in first
+        assert b"Transfer-Encoding" not in first
+        assert second.startswith(b"HTTP/1.1 200 OK\r\n")
+        assert second.endswith(b"body of /next")
+
+    # Guards against: a body after a response that has none.
+    async def test_no_body_is_sent_with_204(self, server):
+        received = await _exchange(
+            server, _get(b"/204-with-body") + _get(b"/next", _CLOSE)
+        )
+        assert received.startswith(b"HTTP/1.1 204 No Content\r\n\r\nHTTP/1.1 200 OK")
+
+    # Guards against: the response to HEAD says that a body is empty that isn't.
+    async def test_response_to_head_without_a_known_length_has_none(self, server):
+        head = b"HEAD /no-body HTTP/1.1\r\nHost: a\r\n\r\n"
+        received = await _exchange(server, head + _get(b"/next", _CLOSE))
+        assert received.startswith(b"HTTP/1.1 200 OK\r\n\r\nHTTP/1.1 200 OK\r\n")
+        assert received.endswith(b"body of /next")
+
+    async def test_response_to_head_keeps_a_known_length(self, server):
+        head = b"HEAD /a HTTP/1.1\r\nHost: a\r\n\r\n"
+        received = await _exchange(server, head + _get(b"/next", _CLOSE))
+        assert received.startswith(
+            b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nHTTP/1.1 200 OK\r\n"
+        )
+
+    async def test_head_of_a_stream_has_no_chunks(self, server):
+        server.may_go_on.set()
+        head = b"HEAD /stream HTTP/1.1\r\nHost: a\r\n\r\n"
+        received = await _exchange(server, head + _get(b"/next", _CLOSE))
+        assert received == (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 13\r\nConnection: close\r\n\r\n"
+            b"body of /next"
+        )
+
+
 class TestBrokenOffStreams:
     # Guards against: a stream that is broken off looks complete, or is followed by the
     # response to the next request.
