Refuse a second response to one request

A handler that called send_response twice, or start_chunked after it, or send_response inside its stream, or send_chunk after its end, wrote bytes that the caller takes for the response to its next request, or for a part of a body. No path to that is known: the relays and the dispatcher send once, as the end of a timeout is raised at an await and none is left after the send. Nothing but their order of calls ensured it.

The responder now raises RuntimeError and writes nothing; the server then breaks the connection off, and requests behind are not handled.

close_without_response is removed. Nothing called it, and it could not be used soundly: while an earlier response is in the buffer, the connection is still written to after it, so that the response to the next request would be taken for the missing one.

--- a/gentianhoist/http1/_responder.py
+++ b/gentianhoist/http1/_responder.py
@@ -72,10 +72,6 @@
         """Reset the connection."""
         ...
 
-    def close(self) -> None:
-        """Close the connection once all buffered bytes are written."""
-        ...
-
     def close_after_linger(self) -> None:
         """Close after a delay in which the caller can read the response.
 
@@ -94,7 +90,9 @@
 class Responder:
     """Writes the response to one request.
 
-    Use either `send_response`, or `start_chunked`, `send_chunk` and `end_chunked`.
+    Use either `send_response`, or `start_chunked`, `send_chunk` and `end_chunked`, each
+    in this order. Any other use raises `RuntimeError` and writes nothing, since the
+    caller would take the bytes for the response to its next request.
 
     Args:
         connection: The caller's connection.
@@ -142,6 +140,12 @@
             body: The body; empty if the status has none. Also empty for HEAD, if the
                 length that a GET would have isn't known.
         """
+        self._check_not_begun()
+        self._write_whole(status, headers, body)
+
+    def _write_whole(
+        self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes
+    ) -> None:
         all_headers = [*headers]
         if status not in _BODILESS_STATUSES and (body or not self._head_only):
             all_headers.append((b"Content-Length", b"%d" % len(body)))
@@ -159,6 +163,7 @@
             status: HTTP status code.
             headers: All headers except Transfer-Encoding.
         """
+        self._check_not_begun()
         if not self._takes_chunks:
             self._started = True
             self._held = _HeldStream(status, [*headers], bytearray())
@@ -174,6 +179,7 @@
             OverflowError: If the caller's HTTP version has no chunked bodies, and the
                 response is too large to be held back.
         """
+        self._check_in_stream()
         if not data or self._head_only:
             return
         if self._held is not None:
@@ -186,9 +192,10 @@
 
     def end_chunked(self) -> None:
         """Write the last chunk, which marks the response as complete."""
+        self._check_in_stream()
         if self._held is not None:
             status, headers, body = self._held
-            self.send_response(status, headers, bytes(body))
+            self._write_whole(status, headers, bytes(body))
             return
         if not self._head_only:
             self._connection.write(b"0\r\n\r\n")
@@ -199,10 +206,13 @@
         self._finished = True
         self._connection.abort()
 
-    def close_without_response(self) -> None:
-        """Close the connection without a response."""
-        self._finished = True
-        self._connection.close()
+    def _check_not_begun(self) -> None:
+        if self._started or self._finished:
+            raise RuntimeError("a response to the request was begun before")
+
+    def _check_in_stream(self) -> None:
+        if not self._started or self._finished:
+            raise RuntimeError("no chunked response is in progress")
 
     def _write_head(self, status: int, headers: Headers) -> None:
         self._keep_alive = self._keep_alive and not self._connection.is_draining
--- a/tests/http1/test_response_framing.py
+++ b/tests/http1/test_response_framing.py
@@ -227,6 +227,36 @@
         )
 
 
+class TestOneResponse:
+    # Guards against: a second response that is taken for that to the next request.
+    @pytest.mark.parametrize("target", [b"/twice", b"/chunked-after-response"])
+    async def test_second_response_is_not_written(self, server, target):
+        received = await _exchange(server, _get(target) + _get(b"/next"))
+        whole = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+        assert whole.startswith(received)
+        assert server.targets == [target]
+
+    # Guards against: an error response inside the stream that it ends.
+    async def test_response_in_a_stream_is_not_written(self, server):
+        received = await _exchange(server, _get(b"/response-in-stream"))
+        stream = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+        assert stream.startswith(received)
+
+    # Guards against: a chunk after the end of its stream.
+    async def test_chunk_after_the_end_is_not_written(self, server):
+        received = await _exchange(server, _get(b"/chunk-after-end"))
+        stream = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+        assert stream.startswith(received)
+
+    # Guards against: a response that is cut looks complete, and the next one follows.
+    async def test_response_that_is_cut_is_shorter_than_its_length(self, server):
+        received = await _exchange(server, _get(b"/large-then-twice") + _get(b"/next"))
+        head, _, body = received.partition(b"\r\n\r\n")
+        assert not received or b"Content-Length: 2000000" in head
+        assert set(body) <= set(b"x")
+        assert server.targets == [b"/large-then-twice"]
+
+
 class TestBrokenOffStreams:
     # Guards against: a stream that is broken off looks complete, or is followed by the
     # response to the next request.
