Keep orders and requests on connections of their own

A connection of the pool now carries only requests whose responses name them, or only others; an idle one of the other kind makes room when the pool is full. An order that follows another one still can't tell their responses apart: its result may be wrong for one reservation, whose request the engine then refuses as not executed.

--- a/gentianhoist/dispatch/_attempt.py
+++ b/gentianhoist/dispatch/_attempt.py
@@ -175,7 +175,7 @@
             AttemptFailed: If the request was not sent.
         """
         try:
-            self._lease = await self._pool.acquire(max_idle_s=max_idle_s)
+            self._lease = await self._pool.acquire(max_idle_s=max_idle_s, is_named=True)
         except ConnectionFailed as error:
             raise AttemptFailed(
                 Execution.UNSENT, str(error), no_response=True
--- a/gentianhoist/http1/_client.py
+++ b/gentianhoist/http1/_client.py
@@ -92,6 +92,8 @@
         self._on_dropped: Callable[[DroppedResponse], None] = _ignore_dropped
         self.keep_alive_s: float | None = None
         self.idle_since_s = 0.0
+        # Whether the responses on it name the requests that they belong to.
+        self.is_named = False
 
     @classmethod
     async def open(
--- a/gentianhoist/http1/_pool.py
+++ b/gentianhoist/http1/_pool.py
@@ -70,21 +70,26 @@
         """Number of connections that are in use or idle."""
         return self._open_count
 
-    async def acquire(self, *, max_idle_s: float = float("inf")) -> AcquiredConnection:
+    async def acquire(
+        self, *, max_idle_s: float = float("inf"), is_named: bool = False
+    ) -> AcquiredConnection:
         """Acquire an idle connection, or open one.
 
         Args:
             max_idle_s: Maximum seconds that a reused connection may have been idle.
+            is_named: Whether the response will name its request. A connection carries
+                only requests of one kind: a late response that names none could be that
+                to any request after it.
 
         Raises:
             PoolExhausted: If no idle connection can be reused and the maximum is open.
             ConnectionFailed: If no idle connection can be reused and opening one fails.
         """
-        idle_connection = self._pop_idle(max_idle_s)
+        idle_connection = self._pop_idle(max_idle_s, is_named)
         if idle_connection is not None:
             return AcquiredConnection(idle_connection, is_new=False)
         if self._open_count >= self._limits.max_connections:
-            raise PoolExhausted
+            self._close_other_kind(is_named)
         self._open_count += 1
         try:
             connection = await ClientConnection.open(
@@ -96,6 +101,7 @@
         except BaseException:
             self._open_count -= 1
             raise
+        connection.is_named = is_named
         return AcquiredConnection(connection, is_new=True)
 
     def release(self, connection: ClientConnection) -> None:
@@ -118,14 +124,29 @@
                 self._idle.remove(connection)
                 self._close_connection(connection)
 
-    def _pop_idle(self, max_idle_s: float) -> ClientConnection | None:
+    def _pop_idle(self, max_idle_s: float, is_named: bool) -> ClientConnection | None:
         self.close_expired()
         for connection in reversed(self._idle):
-            if self._is_reusable(connection, max_idle_s):
+            if connection.is_named == is_named and self._is_reusable(
+                connection, max_idle_s
+            ):
                 self._idle.remove(connection)
                 return connection
         return None
 
+    def _close_other_kind(self, is_named: bool) -> None:
+        """Close an idle connection that carries the other kind of requests.
+
+        Raises:
+            PoolExhausted: If there is none.
+        """
+        for connection in self._idle:
+            if connection.is_named != is_named:
+                self._idle.remove(connection)
+                self._close_connection(connection)
+                return
+        raise PoolExhausted
+
     def _is_reusable(self, connection: ClientConnection, max_idle_s: float) -> bool:
         keep_alive_s = connection.keep_alive_s
         timeout_s = (
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -212,7 +212,9 @@
         self._server_state = server_state
         self._server = server
 
-    async def acquire(self, *, max_idle_s: float = 0.0) -> AcquiredConnection:
+    async def acquire(
+        self, *, max_idle_s: float = 0.0, is_named: bool = False
+    ) -> AcquiredConnection:
         behaviour = next(self._server_state.script)
         await asyncio.sleep(0.001)
         if behaviour is ServerBehaviour.REFUSE_CONNECTION:
--- a/tests/dispatch/test_resumed_streams.py
+++ b/tests/dispatch/test_resumed_streams.py
@@ -100,7 +100,9 @@
         self._script = script
         self._last_event_ids = last_event_ids
 
-    async def acquire(self, *, max_idle_s: float = 0.0) -> AcquiredConnection:
+    async def acquire(
+        self, *, max_idle_s: float = 0.0, is_named: bool = False
+    ) -> AcquiredConnection:
         connection = ScriptedConnection(self._script.pop(0), self._last_event_ids)
         return AcquiredConnection(connection, True)  # type: ignore[arg-type]
 
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -4,7 +4,13 @@
 
 import pytest
 
-from gentianhoist.http1 import ConnectionFailed, ConnectionPool, PoolLimits, exchange
+from gentianhoist.http1 import (
+    ConnectionFailed,
+    ConnectionPool,
+    PoolExhausted,
+    PoolLimits,
+    exchange,
+)
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 OK_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -18,10 +24,11 @@
         self._close = close
         self.connections = 0
 
-    async def start(self) -> ConnectionPool:
+    async def start(self, max_connections: int = 64) -> ConnectionPool:
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = self._server.sockets[0].getsockname()[1]
-        return ConnectionPool("127.0.0.1", port, PoolLimits())
+        limits = PoolLimits(max_connections=max_connections)
+        return ConnectionPool("127.0.0.1", port, limits)
 
     async def close(self) -> None:
         self._server.close()
@@ -245,6 +252,29 @@
         pool.close()
         await server.close()
 
+    async def test_connection_carries_requests_of_one_kind(self):
+        server = ScriptedServer(OK_RESPONSE, OK_RESPONSE)
+        pool = await server.start()
+        await _send_request(pool)
+        acquired = await pool.acquire(is_named=True)
+        assert acquired.is_new
+        pool.release(acquired.connection)
+        assert not (await pool.acquire(is_named=False)).is_new
+        assert not (await pool.acquire(is_named=True)).is_new
+        await server.close()
+
+    async def test_idle_connection_makes_room_for_one_of_the_other_kind(self):
+        server = ScriptedServer(OK_RESPONSE)
+        pool = await server.start(max_connections=1)
+        await _send_request(pool)
+        acquired = await pool.acquire(is_named=True)
+        assert acquired.is_new
+        assert pool.open_connections == 1
+        with pytest.raises(PoolExhausted):
+            await pool.acquire(is_named=False)
+        acquired.connection.close()
+        await server.close()
+
     async def test_refused_connection_counts_as_unsent(self):
         server = ScriptedServer()
         pool = await server.start()
--- a/tests/platform_adapter/test_orders.py
+++ b/tests/platform_adapter/test_orders.py
@@ -4,9 +4,16 @@
 
 import pytest
 
-from gentianhoist.dispatch import DispatchPolicy, DispatchState, ReservationStatus
+from gentianhoist.dispatch import (
+    Call,
+    DispatchPolicy,
+    DispatchState,
+    ReservationStatus,
+    SendOptions,
+)
+from gentianhoist.dispatch._attempt import Attempt
 from gentianhoist.fleet import BackendServer, Idempotency
-from gentianhoist_platform.servers import PlatformKvReservations
+from gentianhoist_platform.servers import PlatformCodec, PlatformKvReservations
 from tests.dispatch.fakes import configuration
 
 DROP = 0
@@ -61,6 +68,32 @@
     return results
 
 
+def _response(body: bytes, *headers: bytes) -> bytes:
+    lines = [b"HTTP/1.1 200 OK", *headers, b"Content-Length: %d" % len(body)]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+async def _send_request(reservations, server: BackendServer) -> bytes:
+    """Send the request r1 to an engine as the dispatcher does; returns the body."""
+    state = reservations._state
+    pool = state.pool(server, state.routing.current.groups["g"])
+    call = Call("r1", b"GET", "a.example", "/", b"/", [], b"", "", 0.0)
+    codec = PlatformCodec()
+    attempt = Attempt(call, server, pool, codec, lambda _: None, lambda _: None)
+    options = SendOptions(None, 1.0)
+    await attempt.send(
+        lambda: codec.encode(call, server, options),
+        lambda: None,
+        max_idle_s=float("inf"),
+    )
+    body = b""
+    await attempt._connection.read_head()
+    while data := await attempt.read_chunk():
+        body += data
+    attempt.close()
+    return body
+
+
 class TestReserve:
     @pytest.mark.parametrize(
         ("status", "result"),
@@ -88,6 +121,43 @@
         results = await _reserve(reservations, 200, DROP, 200, times=2)
         assert results == [ReservationStatus.HELD, ReservationStatus.HELD]
 
+    # Guards against: a request gets the second response to an order, or waits in vain.
+    async def test_second_response_to_an_order_reaches_no_request(self, reservations):
+        async def serve(reader, writer) -> None:
+            late = b""
+            while data := await reader.read(4096):
+                if b"/api/order" in data:
+                    late = _response(b"{}")
+                    writer.write(late)
+                else:
+                    writer.write(late + _response(b"own", b"Attempt-Id: r1"))
+            writer.close()
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        server = BackendServer("engine-1", "g", "127.0.0.1", port, "z", 8)
+        await reservations.reserve(server, "t", 10, 3.0)
+        assert await _send_request(reservations, server) == b"own"
+        # Nor does the response to a request reach an order.
+        assert (
+            await reservations.reserve(server, "t", 10, 3.0) is ReservationStatus.HELD
+        )
+        listener.close()
+
+    async def test_order_skips_the_response_to_a_request(self, reservations):
+        async def serve(reader, writer) -> None:
+            await reader.readuntil(b"}")
+            refused = _response(b"{}").replace(b"200", b"409")
+            writer.write(_response(b"late", b"Attempt-Id: r1") + refused)
+            writer.close()
+
+        listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = listener.sockets[0].getsockname()[1]
+        server = BackendServer("engine-1", "g", "127.0.0.1", port, "z", 8)
+        result = await reservations.reserve(server, "t", 10, 3.0)
+        assert result is ReservationStatus.REFUSED
+        listener.close()
+
     async def test_engine_that_closes_every_connection(self, reservations):
         assert await _reserve(reservations, DROP, DROP) == [
             ReservationStatus.UNREACHABLE
