Open a connection for each request to an engine of our own interface

Each request now has a connection of its own, on the same machine, as calls to plain services have already.

--- a/gentianhoist/backends/_engine.py
+++ b/gentianhoist/backends/_engine.py
@@ -67,7 +67,9 @@
 
     async def start(self) -> None:
         """Create the HTTP session; needed before any other call."""
-        connector = aiohttp.TCPConnector(limit=0)
+        # A response names no request, so that a late second one could be taken for that
+        # to the next request on its connection.
+        connector = aiohttp.TCPConnector(force_close=True, limit=0)
         self._session = aiohttp.ClientSession(connector=connector)
 
     async def close(self) -> None:
