Bound the search for heads of responses inside a body

Informational heads without end inside a body with a length were collected as the begin of one response, and searched from their start with every read: 6.9 s for a MB, 115 ms for one slice of 8 KB. At most three of them belong to the response that they precede, and they aren't parsed. Found by a measurement of hostile bodies; one of the 12 new tests failed before.

--- a/gentianhoist/http1/_head_search.py
+++ b/gentianhoist/http1/_head_search.py
@@ -20,7 +20,11 @@
 _HEADER_LINE = re.compile(rb"[!#$%%&'*+.^_`|~0-9A-Za-z-]+:%b\r\n" % _TEXT)
 _BEGIN_IN_LINE = re.compile(_STATUS)
 _BEGIN = b"HTTP/1."
-_FIRST_FINAL_STATUS = 200
+# Of a status code, which begins at this offset of the head.
+_INFORMATIONAL_CLASS = b"1"
+_CLASS_OFFSET = len(b"HTTP/1.1 ")
+# Informational responses right before another one that belong to it.
+_MAX_INFORMATIONAL = 3
 # Completes the begin of a status line, to see whether it may be one.
 _SAMPLE_STATUS = b"HTTP/1.1 200 "
 _CHECKED_BYTES = len(_SAMPLE_STATUS)
@@ -80,17 +84,18 @@
 
 def _match_heads(data: bytes, start: int) -> HeadSearch:
     """Match a head, with the informational ones right before it, at an offset."""
-    found: HeadSearch = NoHead()
-    end: int | None = start
-    while end := _head_end(data, end):
-        head_start = start if isinstance(found, NoHead) else found.end
-        head = _parse_head(data[head_start:end])
-        if head is None:
-            return found
-        found = FoundHead(start, end, head)
-        if head.status >= _FIRST_FINAL_STATUS:
-            return found
-    return PartialHead(start) if end is None else found
+    head_start = start
+    for _ in range(_MAX_INFORMATIONAL + 1):
+        end = _head_end(data, head_start)
+        if end is None:
+            return PartialHead(start)
+        if not end:
+            return NoHead()
+        if not data.startswith(_INFORMATIONAL_CLASS, head_start + _CLASS_OFFSET):
+            head = _parse_head(data[head_start:end])
+            return NoHead() if head is None else FoundHead(start, end, head)
+        head_start = end
+    return NoHead()
 
 
 def _head_end(data: bytes, start: int) -> int | None:
--- a/tests/http1/test_response_reader.py
+++ b/tests/http1/test_response_reader.py
@@ -4,12 +4,14 @@
 """
 
 import random
+import time
 from functools import partial
 
 import pytest
 
 from gentianhoist.http1 import Attribution, DropPosition
 from gentianhoist.http1._response_reader import InvalidResponse, ResponseReader
+from tests.turn_monitor import PASS_S
 
 LATE = b"late " * 9
 OWN = b"own HTTP/1.1 and HTTP/1.1 200 OK"
@@ -249,3 +251,31 @@
         with pytest.raises(InvalidResponse):
             for _ in range(100_000):
                 reader.feed(b"x" * 1000)
+
+
+class TestHeadsWithoutEnd:
+    # Guards against: what may be a head is searched again and again as it grows, so
+    # that other requests wait.
+    @pytest.mark.usefixtures("heap_of_its_own")
+    @pytest.mark.parametrize("make", [without_length, cut_short])
+    @pytest.mark.parametrize(
+        "repeated",
+        [
+            b"HTTP/1.",
+            b"HTTP/1.1 200 OK ",
+            b"HTTP/1.1 200 OK\r\n",
+            b"HTTP/1.1 200 OK\r\nA: ",
+            b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+            b"HTTP/1.1 103 Early\r\n\r\n",
+        ],
+    )
+    def test_each_slice_takes_a_bounded_time(self, make, repeated):
+        reader = _reader(Recorder())
+        reader.feed(make("b", b"x" * 1_000_000))
+        block = repeated * (8192 // len(repeated))
+        longest_s = 0.0
+        for _ in range(32):
+            began_s = time.thread_time()
+            reader.feed(block)
+            longest_s = max(longest_s, time.thread_time() - began_s)
+        assert longest_s < PASS_S / 4
