Log the starts of processes in a soak, and supervise on after a failure

Its exceptions were never looked at: one failed start ended it for all entries, without a word. A start, with the exit status before it, and a failed one are now lines of the entry's log, the report shows them, and the supervisor goes on. The test of the supervisor fails without that (1 failed).

--- a/soak/_fleet.py
+++ b/soak/_fleet.py
@@ -7,8 +7,11 @@
 import signal
 import socket
 import sys
+import time
 from pathlib import Path
 
+import msgspec
+
 from gentianhoist_platform.standins import (
     ServerStandin,
     StoreStandin,
@@ -95,9 +98,14 @@
         return self._process is not None and self._process.returncode is None
 
     async def start(self) -> None:
-        """Start the process unless it is running."""
+        """Start the process unless it is running.
+
+        Raises:
+            OSError: If the process can't be started.
+        """
         if self.is_running:
             return
+        exit_status = None if self._process is None else self._process.returncode
         python_path = os.pathsep.join([str(_REPOSITORY), str(_REPOSITORY / "platform")])
         with self._log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -110,6 +118,13 @@
                 stderr=log,
                 env=os.environ | {"PYTHONPATH": python_path},
             )
+        self.log("process_started", pid=self._process.pid, exit_status=exit_status)
+
+    def log(self, decision: str, **details: object) -> None:
+        """Add a line to the entry's log, which the time lines of a report show."""
+        line = {"time_s": round(time.time(), 3), "decision": decision, **details}
+        with self._log_path.open("ab") as log:
+            log.write(msgspec.json.encode(line) + b"\n")
 
     def send_signal(self, signal_number: signal.Signals) -> None:
         """Send a signal if the process is running.
@@ -184,7 +199,10 @@
         while True:
             await asyncio.sleep(_RESTART_POLL_INTERVAL_S)
             for entry in self.entries:
-                await entry.start()
+                try:
+                    await entry.start()
+                except OSError as error:
+                    entry.log("process_not_started", cause=repr(error))
 
     def publish_configuration(self) -> None:
         """Write the routing configuration to the store under a newer version."""
--- a/soak/_report.py
+++ b/soak/_report.py
@@ -16,12 +16,20 @@
 
 from matplotlib import pyplot
 
-__all__ = ["timeline", "write_report"]
+__all__ = ["process_lines", "timeline", "write_report"]
 
 _BIN_WIDTH_S = 0.5
 # Injected events this long before the first log line of a request are part of its
 # timeline.
 _EVENT_LOOKBACK_S = 1.0
+# Begins and ends of processes, as they and their supervisor log them.
+_PROCESS_DECISIONS = (
+    b'"process_started"',
+    b'"process_not_started"',
+    b'"started"',
+    b'"stopping"',
+    b'"stopped"',
+)
 _PAGE = """<!doctype html>
 <meta charset="utf-8">
 <title>Soak, seed {seed}</title>
@@ -34,6 +42,8 @@
 {timelines}
 <h2>Injected events</h2>
 <pre>{event_lines}</pre>
+<h2>Processes</h2>
+<pre>{process_lines}</pre>
 """
 
 
@@ -65,10 +75,29 @@
         plot=_plot_throughput(report, start_s),
         timelines=timelines or "<p>None.</p>",
         event_lines=html.escape("\n".join(event_lines)),
+        process_lines=html.escape("\n".join(process_lines(folder))),
     )
     path.write_text(page, encoding="utf-8")
 
 
+def process_lines(folder: Path) -> list[str]:
+    """Return what all entries' logs say of the starts and ends of processes.
+
+    Args:
+        folder: Folder with the logs of the entries.
+
+    Returns:
+        Lines in order of time, each with its time in Unix seconds and its log.
+    """
+    lines = [
+        (_parse_time_s(line), f"{log.name} {line.decode(errors='replace')}")
+        for log in sorted(folder.glob("*.log"))
+        for line in log.read_bytes().splitlines()
+        if any(b'"decision":' + name in line for name in _PROCESS_DECISIONS)
+    ]
+    return [f"{at_s:.3f} {text}" for at_s, text in sorted(lines)]
+
+
 def timeline(report: Report, request_id: str, folder: Path) -> list[str]:
     """Merge all entries' log lines about a request with the injected events around it.
 
--- a/soak/core.py
+++ b/soak/core.py
@@ -199,6 +199,7 @@
             "reset_after",
             "silent",
             "cut_after_events",
+            "answers_twice",
         ])
         self._record_event(f"server {server.id} {fault}")
         setattr(server.faults, fault, 2 if fault == "cut_after_events" else True)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,9 +10,9 @@
 
 import pytest
 
-from soak._fleet import EntryProcess, _allocate_port
+from soak._fleet import EntryProcess, SoakFleet, _allocate_port
 from soak._proxy import FaultyProxy
-from soak._report import timeline, write_report
+from soak._report import process_lines, timeline, write_report
 from soak.core import InjectedEvent, InvariantViolation, Report, run_soak
 
 
@@ -53,6 +53,17 @@
         ]
         assert "SIGKILL" in lines[1]
 
+    # Guards against: a process that isn't started again leaves no trace of the cause.
+    def test_report_shows_starts_and_ends_of_processes(self, tmp_path):
+        entry = EntryProcess(0, 1, 2, tmp_path)
+        entry.log("process_not_started", cause="OSError")
+        with (tmp_path / "entry-0.log").open("a") as log:
+            log.write('{"time_s":1.5,"decision":"stopped"}\n{"decision":"placed"}\n')
+        write_report(self._report(), tmp_path, tmp_path / "report.html")
+        lines = process_lines(tmp_path)
+        assert ["stopped" in line for line in lines] == [True, False]
+        assert "process_not_started" in (tmp_path / "report.html").read_text()
+
     def test_report_shows_plot_and_violations(self, tmp_path):
         write_report(self._report(), tmp_path, tmp_path / "report.html")
         report_html = (tmp_path / "report.html").read_text()
@@ -137,3 +148,28 @@
         writer.close()
         await proxy.close()
         server.close()
+
+
+class FailingEntry(EntryProcess):
+    """Entry whose first starts fail."""
+
+    failures_left = 2
+
+    async def start(self) -> None:
+        if self.failures_left:
+            self.failures_left -= 1
+            raise OSError("no more processes")
+
+
+class TestSupervisor:
+    # Guards against: the supervisor ends with the first start that fails.
+    async def test_entry_is_started_again_after_a_failed_start(self, tmp_path):
+        fleet = SoakFleet(0, tmp_path)
+        entry = FailingEntry(0, 1, 2, tmp_path)
+        fleet.entries = [entry]
+        supervisor = asyncio.ensure_future(fleet._supervise())
+        async with asyncio.timeout(5.0):
+            while entry.failures_left:
+                await asyncio.sleep(0.05)
+        supervisor.cancel()
+        assert len(process_lines(tmp_path)) == 2
