--- a/tests/platform_adapter/test_answers.py
+++ b/tests/platform_adapter/test_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 
 import aiohttp
 import pytest
@@ -184,3 +185,29 @@
             "/brief/x", "s1", Last_Event_Id="5", **PROMPT
         )
         assert (status, body) == (200, b"")
+
+
+class TestSecondResponses:
+    # Guards against: a caller gets the second response to the request before, or none.
+    @pytest.mark.parametrize(
+        ("path", "expected", "headers"),
+        [
+            ("/look/x", b"done", {}),
+            ("/press/x", b"done", {}),
+            ("/brief/x", STREAM, PROMPT),
+        ],
+    )
+    async def test_each_caller_gets_its_own_response(
+        self, deployment, path, expected, headers
+    ):
+        for server in deployment.servers.values():
+            server.faults.answers_twice = True
+        for number in range(8):
+            request_id = f"r{number}"
+            status, received, body = await deployment.send(path, request_id, **headers)
+            assert (status, body) == (200, expected)
+            assert received["Attempt-Id"] == request_id
+        runs = Counter[str]()
+        for server in deployment.servers.values():
+            runs += server.runs
+        assert set(runs.values()) == {1}
