Decide the end of a body by what follows where it may begin another response

- The blank line of an informational head inside a chunk that was broken off completed an event.
- A candidate of header lines was searched again for each byte.

A body whose length ends inside any response head now fails. If it ends in what may be the begin of one, its end waits for further bytes, the end of the connection or 50 ms (its bytes don't). In a chunked body the blank line of a candidate is kept back. A head has at most 100 headers, and is searched again only when a line ends.

New tests: each number of missing bytes from 1 to 54, every cut, and four kinds of second response; 2,000 random bodies of such texts; the next response after an undecided end; the blank line.

--- a/gentianhoist/http1/_client.py
+++ b/gentianhoist/http1/_client.py
@@ -13,10 +13,11 @@
 from typing import NamedTuple, cast
 
 from gentianhoist.http1._input import SlicedInput
-from gentianhoist.http1._response_reader import InvalidResponse, ResponseReader
+from gentianhoist.http1._response_reader import ResponseReader
 from gentianhoist.http1._responses import (
     Attribute,
     DroppedResponse,
+    InvalidResponse,
     ResponseFraming,
     ResponseHead,
     attribute_in_order,
@@ -25,6 +26,10 @@
 __all__ = ["ClientConnection", "ConnectionFailed", "PoolExhausted"]
 
 _MAX_BUFFERED_BYTES = 256 * 1024
+# A body that ends in this many bytes of what may be the head of another response is
+# complete only if no more of that head follows for a while.
+_MIN_DOUBTFUL_BYTES = len(b"HTTP/1.")
+_MAX_END_WAIT_S = 0.05
 
 
 class ConnectionFailed(Exception):
@@ -86,6 +91,7 @@
         # Set once the connection has ended, while received bytes are still parsed.
         self._lost_message: str | None = None
         self._received_end = False
+        self._end_timer: asyncio.TimerHandle | None = None
         self._buffered_bytes = 0
         self._sent_requests = 0
         self._reuse_forbidden = False
@@ -176,6 +182,7 @@
         self._on_dropped = on_dropped
         self._events.clear()
         self._buffered_bytes = 0
+        self._cancel_end_timer()
         self._reader.expect(attribute, head_only=head_only)
         self._transport.write(data)
 
@@ -236,6 +243,19 @@
         except InvalidResponse as error:
             self._abort(str(error))
         self._end_input()
+        self._decide_end()
+
+    def _decide_end(self) -> None:
+        """See to it that a response whose last bytes are undecided ends soon."""
+        undecided_bytes = self._reader.undecided_bytes
+        if not undecided_bytes or not self._input.is_empty:
+            return
+        if undecided_bytes < _MIN_DOUBTFUL_BYTES:
+            self._reader.confirm_end()
+        elif self._end_timer is None:
+            self._end_timer = self._loop.call_later(
+                _MAX_END_WAIT_S, self._reader.confirm_end
+            )
 
     def eof_received(self) -> bool:
         self._received_end = True
@@ -250,10 +270,17 @@
         if not self._input.is_empty or self._failure_message is not None:
             return
         if self._received_end:
-            self._reader.feed_end()
+            self._feed_end()
         if self._lost_message is not None:
+            self._reader.confirm_end()
             self._fail(self._lost_message)
 
+    def _feed_end(self) -> None:
+        try:
+            self._reader.feed_end()
+        except InvalidResponse as error:
+            self._abort(str(error))
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._input.detach()
@@ -300,6 +327,11 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def _cancel_end_timer(self) -> None:
+        if self._end_timer is not None:
+            self._end_timer.cancel()
+            self._end_timer = None
+
     def _abort(self, message: str) -> None:
         """Fail and close the connection; a server may send bytes without end."""
         self._reuse_forbidden = True
@@ -309,6 +341,7 @@
 
     def _fail(self, message: str) -> None:
         self._input.close()
+        self._cancel_end_timer()
         if self._failure_message is None:
             self._failure_message = message
         self._wake_reader()
--- a/gentianhoist/http1/_head_search.py
+++ b/gentianhoist/http1/_head_search.py
@@ -11,8 +11,9 @@
 
 __all__ = ["FoundHead", "HeadSearch", "NoHead", "PartialHead", "search_head"]
 
-# A longer one isn't looked for.
+# One with more isn't looked for.
 _MAX_HEAD_BYTES = 16 * 1024
+_MAX_HEADERS = 100
 # A line holds no begin of a head: the body would end there, in what looks like one.
 _STATUS = rb"HTTP/1\.[01] [1-5][0-9]{2}"
 _TEXT = rb"(?:(?!%b)[^\r\n])*" % _STATUS
@@ -57,12 +58,12 @@
 HeadSearch = FoundHead | PartialHead | NoHead
 
 
-def search_head(data: bytes, start: int = 0) -> HeadSearch:
+def search_head(data: bytes, partial_bytes: int = 0) -> HeadSearch:
     """Find the first response head, or the begin of one at the end of the bytes.
 
     Args:
         data: Bytes of a body, framing included.
-        start: Offset to begin at.
+        partial_bytes: How many of the first bytes were found to be the begin of a head.
 
     Example:
         >>> search_head(b"about HTTP/1.1 and HTTP/1.1 200 OK")
@@ -74,6 +75,14 @@
         >>> search_head(b"ab HTTP/1.1 200 OK\\r\\nA: b\\r\\n\\r\\n").start
         3
     """
+    if (
+        partial_bytes >= _CHECKED_BYTES
+        and len(data) <= _MAX_HEAD_BYTES
+        and data.find(b"\n", partial_bytes) < 0
+    ):
+        # The last line goes on.
+        return PartialHead(0)
+    start = 0
     while (start := data.find(_BEGIN, start)) >= 0:
         found = _match_heads(data, start)
         if not isinstance(found, NoHead):
@@ -103,13 +112,14 @@
     line = _STATUS_LINE.match(data, start)
     if line is None:
         return _if_incomplete(data, start, start)
-    while True:
+    for _ in range(_MAX_HEADERS):
         end = line.end()
         if data.startswith(b"\r\n", end):
             return end + 2
         line = _HEADER_LINE.match(data, end)
         if line is None:
             return _if_incomplete(data, start, end)
+    return 0
 
 
 def _if_incomplete(data: bytes, start: int, line_start: int) -> int | None:
--- a/gentianhoist/http1/_response_reader.py
+++ b/gentianhoist/http1/_response_reader.py
@@ -9,7 +9,6 @@
 
 from collections import deque
 from enum import Enum, auto
-from typing import Protocol
 
 import httptools
 
@@ -25,14 +24,16 @@
     Attribution,
     DroppedResponse,
     DropPosition,
+    InvalidResponse,
     ResponseFraming,
     ResponseHead,
+    ResponseSink,
     attribute_in_order,
     response_framing,
 )
 from gentianhoist.http1.core import Headers
 
-__all__ = ["InvalidResponse", "ResponseReader", "ResponseSink"]
+__all__ = ["ResponseReader"]
 
 # Bytes of heads, chunk framing and trailers since the last byte of a body.
 _MAX_OVERHEAD_BYTES = 64 * 1024
@@ -47,40 +48,15 @@
 _HEAD_END = b"\r\n\r\n"
 
 
-class InvalidResponse(Exception):
-    """The bytes are no valid response, or not one that can be delimited."""
-
-
-class ResponseSink(Protocol):
-    """Receives the response to the request, part by part."""
-
-    def on_head(self, head: ResponseHead, *, keep_alive: bool) -> None:
-        """Take the head; `keep_alive` tells whether the connection stays open."""
-        ...
-
-    def on_data(self, data: bytes) -> None:
-        """Take a part of the body."""
-        ...
-
-    def on_end(self) -> None:
-        """Take the end of the response."""
-        ...
-
-    def on_dropped(self, dropped: DroppedResponse) -> None:
-        """Take note of a response that is not the one to the request."""
-        ...
-
-    def on_stray_bytes(self) -> None:
-        """Take note of bytes that came while no request waits."""
-        ...
-
-
 class _Phase(Enum):
     IDLE = auto()
     HEAD = auto()
     # In the body of a response to another request.
     OTHER_BODY = auto()
     OWN_BODY = auto()
+    # The body has its length, but its last bytes may begin another response.
+    ENDING = auto()
+    FAILED = auto()
 
 
 class ResponseReader:
@@ -107,8 +83,14 @@
         self._framing = ResponseFraming.NO_BODY
         # The begin of a head inside a body, and how much of it was parsed as body.
         self._candidate = b""
+        self._candidate_bytes = 0
         self._parsed_candidate_bytes = 0
+        # Whether what is parsed now may be a head, and what of it belongs to the body.
+        self._in_candidate = False
+        self._own_candidate_bytes = 0
+        self._has_bytes_after_end = False
         self._overhead_bytes = 0
+        self._body_bytes = 0
         self._skipped_bytes = 0
         self._skipped_responses = 0
         self._stray = bytearray()
@@ -118,6 +100,15 @@
         """Whether no request waits for its response, or the rest of it."""
         return self._phase is _Phase.IDLE
 
+    @property
+    def undecided_bytes(self) -> int:
+        """Number of bytes in which a body ends and that may begin another response.
+
+        The response isn't passed on as complete before further bytes tell, or
+        `confirm_end` is called.
+        """
+        return len(self._candidate) if self._phase is _Phase.ENDING else 0
+
     @property
     def skipped_responses(self) -> int:
         """Number of responses to other requests that came before one that waited."""
@@ -147,20 +138,32 @@
         Raises:
             InvalidResponse: If the response can't be found or delimited any more.
         """
+        try:
+            self._feed(data)
+        except InvalidResponse:
+            self._phase = _Phase.FAILED
+            raise
+
+    def _feed(self, data: bytes) -> None:
         self._overhead_bytes += len(data)
         if self._phase is _Phase.OTHER_BODY:
             self._skipped_bytes += len(data)
-        data = self._candidate + data
-        self._candidate = b""
+        candidate, self._candidate = self._candidate, b""
+        self._candidate_bytes = len(candidate)
+        data = candidate + data
         while data:
             match self._phase:
+                case _Phase.FAILED:
+                    return
                 case _Phase.IDLE:
-                    self._take_stray(data[self._take_parsed_count() :])
+                    self._take_stray(data)
                     return
                 case _Phase.HEAD:
                     data = self._feed_head(data)
                 case _Phase.OTHER_BODY | _Phase.OWN_BODY:
                     data = self._feed_body(data)
+                case _Phase.ENDING:
+                    data = self._feed_after_end(data)
         if self._skipped_bytes > _MAX_SKIPPED_BYTES:
             raise InvalidResponse("a response to another request has no end")
         if self._overhead_bytes > _MAX_OVERHEAD_BYTES:
@@ -169,7 +172,12 @@
             )
 
     def feed_end(self) -> None:
-        """Take the end of the connection's data, which may end a body."""
+        """Take the end of the connection's data, which may end a body.
+
+        Raises:
+            InvalidResponse: If the last bytes are invalid.
+        """
+        self.confirm_end()
         if self._phase is not _Phase.OWN_BODY:
             return
         if self._framing is ResponseFraming.CLOSE:
@@ -177,9 +185,20 @@
             self._candidate = b""
             self._end_response()
 
+    def confirm_end(self) -> None:
+        """End a response whose last bytes are undecided, as its length says."""
+        if self._phase is not _Phase.ENDING:
+            return
+        self._candidate = b""
+        self._parsed_candidate_bytes = 0
+        self._end_response()
+        if self._has_bytes_after_end:
+            self._sink.on_stray_bytes()
+
     def _begin_message(self) -> None:
         self._phase = _Phase.HEAD
         self._head_tail = b""
+        self._parsed_candidate_bytes = 0
         # A parser takes nothing after a message that announces the close.
         self._parser = httptools.HttpResponseParser(self)
 
@@ -199,7 +218,8 @@
     def _feed_body(self, data: bytes) -> bytes:
         """Parse up to what may be a head inside the body; returns what is left."""
         parsed_bytes = self._take_parsed_count()
-        search = search_head(data)
+        candidate_bytes, self._candidate_bytes = self._candidate_bytes, 0
+        search = search_head(data, candidate_bytes)
         start = len(data) if isinstance(search, NoHead) else search.start
         self._parse(data[parsed_bytes:start])
         if self._phase not in {_Phase.OTHER_BODY, _Phase.OWN_BODY}:
@@ -221,12 +241,13 @@
             case FoundHead(start=start, end=end, head=head):
                 if self._ends_body(head):
                     return self._end_body_at(data[start:], head)
-                self._parse(data[parsed_bytes : end - 1])
-                if self._phase is _Phase.HEAD:
+                self._parse_candidate(data[parsed_bytes : end - 1])
+                if self._phase in {_Phase.HEAD, _Phase.ENDING}:
                     # The framing ends the body inside the head, which is hence none of
                     # its parts.
-                    return data[start:]
+                    return self._end_body_at(data[start:], head)
                 self._parse(data[max(parsed_bytes, end - 1) : end])
+                self._parsed_candidate_bytes = max(0, parsed_bytes - end)
                 return data[end:]
             case PartialHead(start=start):
                 self._keep_candidate(data[start:], parsed_bytes - start)
@@ -238,16 +259,49 @@
         It is parsed at once if the framing tells where the body ends: the bytes may be
         the last ones. A body without a length, or one that is dropped, can wait.
         """
-        ends_by_framing = (
-            self._phase is _Phase.OWN_BODY
-            and self._framing is not ResponseFraming.CLOSE
-        )
-        if ends_by_framing:
-            self._parse(candidate[parsed_bytes:])
-            parsed_bytes = len(candidate)
-        if self._phase in {_Phase.OTHER_BODY, _Phase.OWN_BODY}:
+        end = self._parsable_bytes(candidate)
+        body_bytes_before = self._body_bytes
+        self._parse_candidate(candidate[parsed_bytes:end])
+        if self._phase is _Phase.ENDING:
+            added_bytes = self._body_bytes - body_bytes_before
+            self._own_candidate_bytes = parsed_bytes + added_bytes
+        if self._phase is not _Phase.IDLE:
             self._candidate = candidate
-            self._parsed_candidate_bytes = parsed_bytes
+            self._parsed_candidate_bytes = max(parsed_bytes, end)
+
+    def _parsable_bytes(self, candidate: bytes) -> int:
+        """Return how much of the begin of a head is parsed as body at once."""
+        if self._phase is _Phase.OTHER_BODY:
+            return 0
+        match self._framing:
+            case ResponseFraming.CLOSE:
+                return 0
+            case ResponseFraming.CHUNKED:
+                # More follows, at least the last chunk. A blank line could complete an
+                # event.
+                blank_line = candidate.find(_HEAD_END)
+                return len(candidate) if blank_line < 0 else blank_line
+        return len(candidate)
+
+    def _parse_candidate(self, data: bytes) -> None:
+        self._in_candidate = True
+        self._parse(data)
+        self._in_candidate = False
+
+    def _feed_after_end(self, data: bytes) -> bytes:
+        """Decide on the end of a body by the bytes after it; returns what is left."""
+        self._parsed_candidate_bytes = 0
+        end = self._own_candidate_bytes
+        match search_head(data):
+            case PartialHead(start=start) if start < end:
+                self._candidate = data
+                self._has_bytes_after_end = len(data) > end
+                return b""
+            case FoundHead(start=start, head=head) if start < end:
+                return self._end_body_at(data, head)
+        self._has_bytes_after_end = False
+        self.confirm_end()
+        return data[end:]
 
     def _take_parsed_count(self) -> int:
         parsed_bytes, self._parsed_candidate_bytes = self._parsed_candidate_bytes, 0
@@ -265,6 +319,8 @@
         if self._phase is _Phase.OTHER_BODY:
             self._begin_message()
             return data
+        if self._phase is _Phase.HEAD:
+            return data
         if self._framing is ResponseFraming.CLOSE:
             self._end_response()
             return data
@@ -302,6 +358,8 @@
             case _Phase.IDLE:
                 # The response is complete; what follows it belongs to no request.
                 self._sink.on_stray_bytes()
+            case _Phase.ENDING:
+                self._has_bytes_after_end = True
             case _Phase.OTHER_BODY:
                 # Its end is unknown; only a head that names a request ends it now.
                 self._parser = None
@@ -317,8 +375,11 @@
     # Callbacks of the httptools parser.
 
     def on_message_begin(self) -> None:
-        if self._phase is _Phase.IDLE:
-            self._sink.on_stray_bytes()
+        match self._phase:
+            case _Phase.IDLE:
+                self._sink.on_stray_bytes()
+            case _Phase.ENDING:
+                self._has_bytes_after_end = True
         self._headers = []
         self._in_headers = True
 
@@ -344,7 +405,9 @@
             return
         self._phase = _Phase.OWN_BODY
         self._framing = response_framing(head)
-        self._sink.on_head(head, keep_alive=self._parser.should_keep_alive())
+        # The server may send a body to HEAD all the same.
+        keep_alive = self._parser.should_keep_alive() and not self._head_only
+        self._sink.on_head(head, keep_alive=keep_alive)
         if self._head_only:
             self._framing = ResponseFraming.NO_BODY
             self._end_response()
@@ -353,12 +416,16 @@
         match self._phase:
             case _Phase.OWN_BODY:
                 self._overhead_bytes = 0
+                self._body_bytes += len(data)
                 self._sink.on_data(data)
             case _Phase.OTHER_BODY:
                 self._overhead_bytes = 0
 
     def on_message_complete(self) -> None:
         match self._phase:
+            case _Phase.OWN_BODY if self._in_candidate:
+                self._phase = _Phase.ENDING
+                self._has_bytes_after_end = False
             case _Phase.OWN_BODY:
                 self._end_response()
             case _Phase.OTHER_BODY | _Phase.HEAD:
--- a/gentianhoist/http1/_responses.py
+++ b/gentianhoist/http1/_responses.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 from enum import Enum
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from gentianhoist.http1.core import Headers, get_header
 
@@ -13,8 +13,10 @@
     "Attribution",
     "DropPosition",
     "DroppedResponse",
+    "InvalidResponse",
     "ResponseFraming",
     "ResponseHead",
+    "ResponseSink",
     "attribute_in_order",
     "response_framing",
 ]
@@ -97,3 +99,31 @@
     head: ResponseHead
     position: DropPosition
     attribution: Attribution
+
+
+class InvalidResponse(Exception):
+    """The bytes are no valid response, or not one that can be delimited."""
+
+
+class ResponseSink(Protocol):
+    """Receives the response to the request, part by part."""
+
+    def on_head(self, head: ResponseHead, *, keep_alive: bool) -> None:
+        """Take the head; `keep_alive` tells whether the connection stays open."""
+        ...
+
+    def on_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+        ...
+
+    def on_end(self) -> None:
+        """Take the end of the response."""
+        ...
+
+    def on_dropped(self, dropped: DroppedResponse) -> None:
+        """Take note of a response that is not the one to the request."""
+        ...
+
+    def on_stray_bytes(self) -> None:
+        """Take note of bytes that came while no request waits."""
+        ...
--- a/tests/http1/test_client.py
+++ b/tests/http1/test_client.py
@@ -84,6 +84,13 @@
         b"ok",
         False,
     ),
+    (
+        "that ends in the begin of a head",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\nHTTP/1.1 200",
+        False,
+        b"HTTP/1.1 200",
+        True,
+    ),
     ("with bytes after it", OK_RESPONSE + b"garbage", False, b"ok", False),
     ("with another response after it", OK_RESPONSE + OK_RESPONSE, False, b"ok", False),
     ("without a body", b"HTTP/1.1 204 No Content\r\n\r\n", False, b"", True),
--- a/tests/http1/test_response_reader.py
+++ b/tests/http1/test_response_reader.py
@@ -10,7 +10,8 @@
 import pytest
 
 from gentianhoist.http1 import Attribution, DropPosition
-from gentianhoist.http1._response_reader import InvalidResponse, ResponseReader
+from gentianhoist.http1._response_reader import ResponseReader
+from gentianhoist.http1._responses import InvalidResponse
 from tests.turn_monitor import PASS_S
 
 LATE = b"late " * 9
@@ -89,7 +90,7 @@
 
     def __init__(self) -> None:
         self.heads = 0
-        self.body = b""
+        self.body = bytearray()
         self.ends = 0
         self.dropped = []
         self.has_stray_bytes = False
@@ -136,6 +137,17 @@
     return recorder
 
 
+def _read_until_invalid(parts: list[bytes]) -> Recorder:
+    """Read until the bytes are invalid; the end of the connection isn't taken."""
+    recorder = Recorder()
+    reader = _reader(recorder)
+    with pytest.raises(InvalidResponse):
+        for part in parts:
+            reader.feed(part)
+    reader.confirm_end()
+    return recorder
+
+
 def _split(data: bytes, *cuts: int) -> list[bytes]:
     edges = [0, *sorted(cuts), len(data)]
     return [data[a:b] for a, b in zip(edges, edges[1:], strict=False)]
@@ -187,12 +199,34 @@
     def test_broken_off_response_is_not_filled_up(self, own, request_id, second):
         data = own("b", OWN) + second(request_id, SECOND * 9)
         for cut in range(len(data) + 1):
+            assert _read_until_invalid(_split(data, cut)).ends == 0
+
+    # Guards against: the length of a response that was broken off ends inside the head
+    # of the next one, and the response counts as complete.
+    @pytest.mark.parametrize("request_id", ["a", "b", "elsewhere", None])
+    @pytest.mark.parametrize("missing_bytes", range(1, 55))
+    def test_broken_off_response_does_not_end_in_a_head(
+        self, request_id, missing_bytes
+    ):
+        own = with_length("b", OWN + b"x" * missing_bytes)[:-missing_bytes]
+        second = with_length(request_id or "", SECOND)
+        if request_id is None:
+            second = second.replace(b"For: \r\n", b"Server: of another request\r\n")
+        data = own + second
+        begin_bytes = len(b"HTTP/1.")
+        for cut in range(len(data) + 1):
+            if missing_bytes <= cut - len(own) < begin_bytes:
+                # What was read could be the end of any text.
+                continue
             recorder = Recorder()
             reader = _reader(recorder)
+            parts = _split(data, cut)
             with pytest.raises(InvalidResponse):
-                for part in _split(data, cut):
+                for part in parts:
                     reader.feed(part)
-            assert recorder.ends == 0
+                    if reader.undecided_bytes < begin_bytes:
+                        reader.confirm_end()
+            assert recorder.ends == 0, cut
 
 
 class TestBodies:
@@ -216,13 +250,60 @@
             recorder = _read(_split(data, cut))
             assert (recorder.body, recorder.ends) == (body, 1), cut
 
+    # Guards against: a body that quotes heads is changed where the reads are cut.
+    @pytest.mark.parametrize("seed", range(20))
+    def test_body_of_head_texts_is_unchanged(self, seed):
+        rng = random.Random(seed)
+        texts = [
+            b"HTTP/1.1 103 E\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\n",
+            b"HTTP/1.1 200 OK\r\nA: b\r\n\r\n",
+            b"HTTP/1.",
+            b"HTTP/",
+            b"H",
+            b"A: b\r\n",
+            b"\r\n",
+            b"1 200",
+            b"text",
+        ]
+        for _ in range(100):
+            body = b"".join(rng.choices(texts, k=rng.randrange(12)))
+            make = rng.choice([*WHOLE, without_length])
+            data = make("b", body)
+            cuts = [rng.randrange(len(data)) for _ in range(rng.randrange(6))]
+            recorder = _read(_split(data, *cuts))
+            assert (recorder.body, recorder.ends) == (body, 1), (make, body, cuts)
+
     @pytest.mark.parametrize("make", [with_length, in_chunks])
     def test_last_bytes_are_not_held_back(self, make):
         recorder = Recorder()
         reader = _reader(recorder)
         reader.feed(make("b", b"ends in HTTP/1.1 200"))
+        assert recorder.body == b"ends in HTTP/1.1 200"
+        reader.confirm_end()
         assert recorder.ends == 1
 
+    # Guards against: what was held at the end of a body changes the next one.
+    def test_next_response_after_an_undecided_end_is_read(self):
+        recorder = Recorder()
+        reader = _reader(recorder)
+        for body in (b"ends in HTTP/1.1 200", b"ends in H", b"HTTP/", OWN, b"text"):
+            reader.expect(partial(_attribute, "b"), head_only=False)
+            for part in _split(with_length("b", body), 9):
+                reader.feed(part)
+            reader.confirm_end()
+            assert recorder.body.endswith(body)
+        assert recorder.ends == 5
+
+    # Guards against: the blank line of a head that begins inside a chunk completes an
+    # event.
+    def test_head_inside_a_chunk_completes_no_event(self):
+        recorder = Recorder()
+        reader = _reader(recorder)
+        reader.feed(_head("b", b"Transfer-Encoding: chunked") + b"ff\r\ndata: a")
+        reader.feed(b"HTTP/1.1 103 Early\r\nLink: a\r\n\r\n")
+        assert b"\n\r\n" not in recorder.body
+
     def test_response_to_head_has_no_body(self):
         recorder = Recorder()
         reader = ResponseReader(recorder)
