--- a/gentianhoist/dispatch/_attempt.py
+++ b/gentianhoist/dispatch/_attempt.py
@@ -28,7 +28,7 @@
 
 # Limit of a body that is buffered; streams are passed on event by event.
 _MAX_BODY_BYTES = 8 * 1024 * 1024
-# Begin of a response head, which no server's body holds.
+# Begin of a response head.
 _HEAD_BEGIN = b"HTTP/1.1 "
 
 
