--- a/tests/fleet/test_entry_registry.py
+++ b/tests/fleet/test_entry_registry.py
@@ -6,6 +6,9 @@
 from gentianhoist.store import StoreUnavailable
 from gentianhoist.telemetry import DecisionLog
 
+# An entry reads the rows before and after its first write.
+_FIRST_ROUND_READS = 2
+
 
 class FakeEntryRows:
     """Rows of a store that answers each call after 1 ms."""
@@ -13,6 +16,7 @@
     def __init__(self) -> None:
         self.rows: list[str] = []
         self.failures = 0
+        self.reads = 0
 
     async def renew(self, host: str) -> None:
         await self._answer()
@@ -23,6 +27,7 @@
 
     async def hosts(self) -> list[str]:
         await self._answer()
+        self.reads += 1
         return list(self.rows)
 
     async def _answer(self) -> None:
@@ -37,9 +42,12 @@
     registries = [
         EntryRegistry(rows, host, seen[host].update, DecisionLog({})) for host in hosts
     ]
+    reads_in_first_rounds = rows.reads + _FIRST_ROUND_READS * len(hosts)
     for registry in registries:
         registry.start()
-    await asyncio.sleep(0.05)
+    async with asyncio.timeout(5.0):
+        while rows.reads < reads_in_first_rounds:
+            await asyncio.sleep(0.001)
     for registry in registries:
         await registry.close()
     return seen
