Give the exchange between entries a registry of message kinds

Cause: PeerLink had a method and a match case for each feature (458 lines), and a datagram with one message of another version was dropped as a whole.

Commitments name the organisation, as a last field with a default, so entries of both versions read each other.

Evidence: tests of peers, quarantine, rate limits, quotas and placement.

--- a/gentianhoist/dispatch/_prompt_placer.py
+++ b/gentianhoist/dispatch/_prompt_placer.py
@@ -393,6 +393,7 @@
             demand.value,
             now_s + demand.ttft_budget_s,
             expires_s,
+            self._request.organisation_name,
         )
         helper_commitments = [
             decode_commitment._replace(
--- a/gentianhoist/peers/__init__.py
+++ b/gentianhoist/peers/__init__.py
@@ -1,7 +1,6 @@
 """Exchange between entries: commitments, quarantine evidence, copies of tables."""
 
 from gentianhoist.peers._messages import (
-    Batch,
     CommitmentAdded,
     CommitmentEnded,
     FirstEventReceived,
@@ -13,6 +12,7 @@
     QuarantineListener,
     RateLimitListener,
 )
+from gentianhoist.peers._registry import Batch, MessageKind, Sender
 from gentianhoist.peers._tables import PeerTableExchange
 from gentianhoist.peers.core import PeerLink
 
@@ -22,10 +22,12 @@
     "CommitmentEnded",
     "CommitmentPublisher",
     "NullCommitmentPublisher",
+    "MessageKind",
     "PeerLink",
     "PeerTableExchange",
     "QuarantineListener",
     "RateLimitListener",
     "RateLimitUsed",
+    "Sender",
     "FirstEventReceived",
 ]
--- a/gentianhoist/peers/_messages.py
+++ b/gentianhoist/peers/_messages.py
@@ -10,12 +10,10 @@
 from gentianhoist.ratelimits import RateLimitReport
 
 __all__ = [
-    "Batch",
     "CommitmentAdded",
     "CommitmentEnded",
     "EngineLossReported",
     "FirstEventReceived",
-    "Message",
     "QuotaLent",
     "QuotaRequested",
     "PromptCompleted",
@@ -44,6 +42,8 @@
         ttft_deadline_in_ms: Time left until the goal for the time to first token, in
             ms.
         expires_in_ms: Time after which the commitment expires, in ms.
+        organisation: Organisation of the caller; empty if unknown, or if the sender
+            doesn't tell it.
     """
 
     id: str
@@ -56,6 +56,7 @@
     value: float
     ttft_deadline_in_ms: int
     expires_in_ms: int
+    organisation: str = ""
 
     @classmethod
     def of(cls, commitment: Commitment, now_s: float) -> CommitmentAdded:
@@ -76,6 +77,7 @@
             round(commitment.value, 2),
             round((commitment.ttft_deadline_s - now_s) * 1000),
             round((commitment.expires_s - now_s) * 1000),
+            commitment.organisation,
         )
 
     def commitment(self, now_s: float) -> Commitment:
@@ -95,6 +97,7 @@
             self.value,
             now_s + self.ttft_deadline_in_ms / 1000,
             now_s + self.expires_in_ms / 1000,
+            self.organisation,
         )
 
 
@@ -230,30 +233,3 @@
     """
 
     host: str
-
-
-Message = (
-    CommitmentAdded
-    | FirstEventReceived
-    | CommitmentEnded
-    | EngineLossReported
-    | PromptCompleted
-    | SegmentRecorded
-    | RateLimitUsed
-    | ServerLeaving
-    | QuotaRequested
-    | QuotaLent
-    | SyncRequest
-)
-
-
-class Batch(msgspec.Struct, array_like=True):
-    """Content of one datagram; without messages it is only a heartbeat.
-
-    Attributes:
-        incarnation: Name of this run of the sending entry's process, new at each start.
-        messages: Messages in the order of their events.
-    """
-
-    incarnation: str
-    messages: list[Message]
--- a/gentianhoist/placement/_ledger.py
+++ b/gentianhoist/placement/_ledger.py
@@ -35,6 +35,7 @@
             clock.
         expires_s: Time at which it is dropped if its end was not reported, on the
             entry's clock.
+        organisation: Organisation of the caller; empty if unknown.
     """
 
     id: str
@@ -47,6 +48,7 @@
     value: float
     ttft_deadline_s: float
     expires_s: float
+    organisation: str = ""
 
 
 @dataclass
