Let entries take turns at slots of full engines

Change: package slotturns. While fewer slots are free than there are entries, each entry claims a slot only from its turn on, in an order derived from the ended request.

Evidence: tests/slotturns (30 entries, one slot: under two claims in the mean, over five without turns), tests of peers and placement passed.

--- a/gentianhoist/dispatch/_engine_candidates.py
+++ b/gentianhoist/dispatch/_engine_candidates.py
@@ -14,6 +14,7 @@
     ShortlistPolicy,
     make_shortlist,
 )
+from gentianhoist.slotturns import SlotTurns, is_scarce
 
 __all__ = ["EngineCandidates", "all_candidates", "shortlisted_candidates"]
 
@@ -63,8 +64,9 @@
         extra_requests=_extra_requests(state, group, servers, now_s),
         policy=policy,
     )
+    turns = _turns(state, group, len(servers), shortlist.fleet_load)
     return EngineCandidates(
-        all_candidates(state, group, shortlist.servers, now_s),
+        all_candidates(state, group, shortlist.servers, now_s, turns),
         shortlist.fleet_load,
         len(shortlist.servers) == len(servers),
     )
@@ -75,9 +77,28 @@
     group: ServerGroup,
     servers: Sequence[BackendServer],
     now_s: float,
+    turns: SlotTurns | None = None,
 ) -> list[Candidate]:
-    """Return each of some engines as a candidate; arguments as above."""
-    return [_candidate(state, group, server, now_s) for server in servers]
+    """Return each of some engines as a candidate.
+
+    Args:
+        state: State that all requests share.
+        group: Server group of the engines.
+        servers: The engines.
+        now_s: Current time on the entry's clock, in seconds.
+        turns: Order of the entries' claims, None while slots are plentiful.
+    """
+    return [_candidate(state, group, server, now_s, turns) for server in servers]
+
+
+def _turns(
+    state: DispatchState, group: ServerGroup, engines: int, fleet_load: FleetLoad
+) -> SlotTurns | None:
+    """Return the order of the entries' claims, if they may claim the same slots."""
+    if group.engine is None:
+        return None
+    free_slots = engines * group.engine.slots - fleet_load.requests
+    return state.slot_turns if is_scarce(free_slots, state.slot_turns.entries) else None
 
 
 def _candidate(
@@ -85,19 +106,22 @@
     group: ServerGroup,
     server: BackendServer,
     now_s: float,
+    turns: SlotTurns | None,
 ) -> Candidate:
     limits = state.rate_limits
+    load = state.ledger.load(server.id)
     is_limited = limits.limit_per_s(server) is not None
     limited_cost = _RATE_LIMITED_COST if is_limited else 0.0
     health = state.server_health.get(server.incarnation)
     return Candidate(
         server,
-        state.ledger.load(server.id),
+        load,
         max(1.0, health.slowness),
         health.penalty(now_s),
         state.preference_cost(server.id) + limited_cost,
         state.is_within_cold_limit(server, group, now_s),
         not is_limited or limits.can_send(server, now_s),
+        is_claimable=turns is None or turns.may_claim(load.last_ended, now_s),
     )
 
 
--- a/gentianhoist/dispatch/_prompt_placer.py
+++ b/gentianhoist/dispatch/_prompt_placer.py
@@ -162,7 +162,7 @@
         reserved.permit.release()
 
     def _end_commitments(self, id_: str) -> None:
-        self._state.ledger.remove(id_)
+        self._state.ledger.remove(id_, self._context.clock.monotonic_s())
         self._context.peers.publish_ended(id_)
         self._context.queue_scheduler.request_scan()
 
--- a/gentianhoist/dispatch/_state.py
+++ b/gentianhoist/dispatch/_state.py
@@ -26,6 +26,7 @@
 )
 from gentianhoist.quotas import SharedQuota
 from gentianhoist.ratelimits import RateLimits, TurnQueue
+from gentianhoist.slotturns import SlotTurns
 
 __all__ = ["DispatchPolicy", "DispatchState"]
 
@@ -108,6 +109,7 @@
         cold_starts: Limits the requests to cold servers.
         rate_limits: Rate limits that servers name.
         pauses: Pauses that servers name in refusals.
+        slot_turns: Order in which entries claim slots of full engines.
         queue: Prompts that wait for engines.
         outstanding: Number of sent requests that have not ended, by server id.
     """
@@ -124,6 +126,7 @@
         self.cold_starts = ColdStartBudget(phase=self.rng.random())
         self.rate_limits = RateLimits(host, self.rng)
         self.pauses = ServerPauses(self.rng)
+        self.slot_turns = SlotTurns(host)
         self.queue = PlacementQueue(policy.queue_order)
         self.outstanding: dict[str, int] = {}
         # Until this entry hears the others, it knows nothing of their choices.
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -392,6 +392,7 @@
                 1 + self._peers.live_count, known if self._peers.is_registry_read else 0
             )
             self._state.set_entry_count(known)
+            self._state.slot_turns.set_others(self._peers.live_hosts)
             self._update_rate_limits()
             self._metrics.set_gauges(
                 self._state.routing.version,
--- a/gentianhoist/peers/_commitments.py
+++ b/gentianhoist/peers/_commitments.py
@@ -103,7 +103,7 @@
         self, message: CommitmentEnded, sender: Sender, now_s: float
     ) -> None:
         self._ids_of_peers.get(sender, set()).discard(message.id)
-        self._ledger.remove(message.id)
+        self._ledger.remove(message.id, now_s)
 
     def _added_messages(self, host: str) -> list[CommitmentAdded]:
         now_s = self._clock.monotonic_s()
--- a/gentianhoist/placement/__init__.py
+++ b/gentianhoist/placement/__init__.py
@@ -11,6 +11,7 @@
     Commitment,
     CommitmentLedger,
     CommittedLoad,
+    EndedCommitment,
 )
 from gentianhoist.placement._model import (
     Candidate,
@@ -61,6 +62,7 @@
     "AffectedRequest",
     "Demand",
     "CommittedLoad",
+    "EndedCommitment",
     "FleetLoad",
     "Shortlist",
     "ShortlistPolicy",
--- a/gentianhoist/placement/_ledger.py
+++ b/gentianhoist/placement/_ledger.py
@@ -12,7 +12,13 @@
 
 from gentianhoist.fleet import EngineProfile
 
-__all__ = ["Commitment", "CommitmentLedger", "AffectedRequest", "CommittedLoad"]
+__all__ = [
+    "AffectedRequest",
+    "Commitment",
+    "CommitmentLedger",
+    "CommittedLoad",
+    "EndedCommitment",
+]
 
 
 class Commitment(NamedTuple):
@@ -51,6 +57,18 @@
     organisation: str = ""
 
 
+class EndedCommitment(NamedTuple):
+    """A request that has left an engine.
+
+    Attributes:
+        id: Identifier of its placement.
+        at_s: When this entry learned of it, on the entry's clock.
+    """
+
+    id: str
+    at_s: float
+
+
 @dataclass
 class _TrackedCommitment:
     commitment: Commitment
@@ -95,6 +113,7 @@
         self._prefill_end_s = float("-inf")
         self._decoding: list[AffectedRequest] = []
         self._prefilling: list[AffectedRequest] = []
+        self._last_ended: EndedCommitment | None = None
 
     @property
     def ids(self) -> list[str]:
@@ -131,6 +150,11 @@
         """Prompts in prefill, whole or as a share; each waits for all its shares."""
         return self._prefilling
 
+    @property
+    def last_ended(self) -> EndedCommitment | None:
+        """Request that has freed a slot last, None if none has."""
+        return self._last_ended
+
     def backlog_s(self, now_s: float) -> float:
         """Seconds of prefill work that remain."""
         return max(0.0, self._prefill_end_s - now_s)
@@ -152,10 +176,14 @@
             item.decode_start_s = now_s
             self._update_totals()
 
-    def remove(self, id_: str) -> None:
+    def remove(self, id_: str, now_s: float) -> None:
         """Remove the commitment of a request that has ended."""
-        if self._tracked.pop(id_, None) is not None:
-            self._update_totals()
+        item = self._tracked.pop(id_, None)
+        if item is None:
+            return
+        if not item.commitment.is_helper:
+            self._last_ended = EndedCommitment(id_, now_s)
+        self._update_totals()
 
     def expired(self, now_s: float) -> list[str]:
         """Return the identifiers of commitments whose end was not reported in time."""
@@ -221,11 +249,16 @@
         for server_id in self._servers_by_id.get(id_, ()):
             self._engines[server_id].record_first_event(id_, now_s)
 
-    def remove(self, id_: str) -> None:
-        """Remove the commitments of a request that has ended on all its engines."""
+    def remove(self, id_: str, now_s: float = float("-inf")) -> None:
+        """Remove the commitments of a request that has ended on all its engines.
+
+        Args:
+            id_: Identifier of the placement.
+            now_s: Current time; by default the request counts as ended long ago.
+        """
         for server_id in self._servers_by_id.pop(id_, ()):
             load = self._engines[server_id]
-            load.remove(id_)
+            load.remove(id_, now_s)
             if not load.ids:
                 del self._engines[server_id]
 
--- a/gentianhoist/placement/_model.py
+++ b/gentianhoist/placement/_model.py
@@ -145,6 +145,8 @@
             request now, or a share of one; True for an engine that names none.
         uncached_ratio: Fraction of this prompt that it has to prefill; less than 1 if
             its prefix cache holds the start of the prompt.
+        is_claimable: Whether this entry may take a free slot of it now, and no other
+            entry goes first.
     """
 
     server: BackendServer
@@ -155,6 +157,7 @@
     is_within_cold_limit: bool = True
     is_within_rate_limit: bool = True
     uncached_ratio: float = 1.0
+    is_claimable: bool = True
 
 
 class Placement(NamedTuple):
--- a/gentianhoist/placement/_scoring.py
+++ b/gentianhoist/placement/_scoring.py
@@ -57,7 +57,8 @@
         load.decoding,
         load.prefilling,
         usable_kv_tokens - load.kv_tokens,
-        candidate.is_within_cold_limit
+        candidate.is_claimable
+        and candidate.is_within_cold_limit
         and candidate.is_within_rate_limit
         and load.requests < profile.slots,
         candidate.is_within_rate_limit and load.helper_prefills < profile.slots,
