Go on to the servers that are left after a crash of many

Crashed engines have no commitments, so they look idle to every entry; a request was refused after 12 attempts (52 refusals), and 93 more after four 421 responses.

Change: servers that can't be connected to are each tried once and no longer count as attempts. An entry that gets a 421 marks that incarnation as leaving and tells the others, as it does for servers that say so.

--- a/gentianhoist/dispatch/_context.py
+++ b/gentianhoist/dispatch/_context.py
@@ -114,6 +114,14 @@
         if notice.is_leaving and self._mark_leaving(server.incarnation, "response"):
             self.peers.publish_leaving(server.incarnation)
 
+    def observe_replaced(self, server: BackendServer) -> None:
+        """Take that another server responded at the address of a server.
+
+        The directory lists the one that has ended until its lease expires.
+        """
+        if self._mark_leaving(server.incarnation, "replaced"):
+            self.peers.publish_leaving(server.incarnation)
+
     @property
     def leaving(self) -> list[tuple[str, str, int]]:
         """Incarnations of servers that are known to be about to stop."""
--- a/gentianhoist/dispatch/_sender.py
+++ b/gentianhoist/dispatch/_sender.py
@@ -34,7 +34,7 @@
 
 __all__ = ["Sender"]
 
-# Attempts at one request, including those that sent nothing.
+# Attempts at one request, including those that sent nothing on an open connection.
 _MAX_ATTEMPTS = 12
 
 
@@ -56,6 +56,8 @@
         self._request = request
         self._loop = asyncio.get_running_loop()
         self._attempts = 0
+        # Servers that couldn't be connected to; each one is tried once.
+        self._unreachable_servers = 0
         self._retry_reserved = False
         self._quarantine = context.quarantine
         self._candidates = Candidates(context, request)
@@ -192,6 +194,10 @@
         request.excluded_ids.add(server.id)
         if failure.execution is Execution.NOT_EXECUTED:
             request.mark_not_executed(server.id)
+        if failure.execution is Execution.UNSENT and failure.no_response:
+            self._unreachable_servers += 1
+        if failure.wrong_server:
+            self._context.observe_replaced(server)
         faulty_server = (
             self._server_at_fault(server, failure)
             if failure.counts_against_server
@@ -256,7 +262,7 @@
     def _has_sends_left(self) -> bool:
         request = self._request
         if (
-            self._attempts >= _MAX_ATTEMPTS
+            self._attempts - self._unreachable_servers >= _MAX_ATTEMPTS
             or request.sends >= self._state.policy.max_sends
         ):
             return False
