Move the health of servers into a package of its own

Cause: what an entry learns of a slow or failing server is to be shared between entries (docs/plans/hard-load.md, part 3), and placement isn't the place for an exchange.

Results are recorded through the registry. Each server keeps the evidence that can be reported: requests, failures and the measured ratio, with a half-life of 5 s.

--- a/gentianhoist/dispatch/_buffered_relay.py
+++ b/gentianhoist/dispatch/_buffered_relay.py
@@ -244,8 +244,7 @@
         self, server: BackendServer, complete: _CompleteResponse, elapsed_s: float
     ) -> None:
         now_s = self._context.clock.monotonic_s()
-        health = self._state.server_health.get(server.incarnation)
-        health.record_success(now_s)
+        self._state.server_health.record_success(server.incarnation, now_s)
         self._has_response = True
         self._quarantine.report_completed(
             self._request.call.quarantine_keys,
--- a/gentianhoist/dispatch/_prompt_placer.py
+++ b/gentianhoist/dispatch/_prompt_placer.py
@@ -152,7 +152,7 @@
         # The floor keeps the ratio meaningful when almost no wait is expected.
         ratio = after_s / max(0.02, expected_s)
         server = reserved.placement.decode_engine
-        self._state.server_health.get(server.incarnation).record_success(now_s, ratio)
+        self._state.server_health.record_success(server.incarnation, now_s, ratio)
         self._context.queue_scheduler.request_scan()
 
     def release(self, reserved: ReservedPlacement) -> None:
--- a/gentianhoist/dispatch/_sender.py
+++ b/gentianhoist/dispatch/_sender.py
@@ -199,8 +199,9 @@
         )
         if faulty_server is not None:
             request.excluded_ids.add(faulty_server.id)
-            health = self._state.server_health.get(faulty_server.incarnation)
-            health.record_failure(now_s, failure_weight(failure))
+            self._state.server_health.record_failure(
+                faulty_server.incarnation, now_s, failure_weight(failure)
+            )
         self._context.metrics.record_failed_send(failure.execution.name.lower())
         self._context.log.record(
             "send_failed",
--- a/gentianhoist/dispatch/_state.py
+++ b/gentianhoist/dispatch/_state.py
@@ -22,10 +22,10 @@
     PlacementQueue,
     PlacementRule,
     QueueOrder,
-    ServerHealthRegistry,
 )
 from gentianhoist.quotas import SharedQuota
 from gentianhoist.ratelimits import RateLimits, TurnQueue
+from gentianhoist.serverhealth import ServerHealthRegistry
 
 __all__ = ["DispatchPolicy", "DispatchState"]
 
--- a/gentianhoist/placement/__init__.py
+++ b/gentianhoist/placement/__init__.py
@@ -1,4 +1,4 @@
-"""Placement of prompts on engines: cost model, engine load, queue and server health."""
+"""Placement of prompts on engines: cost model, engine load and queue."""
 
 from gentianhoist.placement._choice import (
     choose_engines,
@@ -28,7 +28,6 @@
     RefusalCause,
     UnplacedReason,
 )
-from gentianhoist.placement._server_health import ServerHealth, ServerHealthRegistry
 from gentianhoist.placement._shortlist import (
     GANG,
     ONE_ENGINE,
@@ -64,8 +63,6 @@
     "FleetLoad",
     "Shortlist",
     "ShortlistPolicy",
-    "ServerHealth",
-    "ServerHealthRegistry",
     "ExpectedValue",
     "LeastOutstanding",
     "Load",
--- /dev/null
+++ b/gentianhoist/serverhealth/_evidence.py
@@ -0,0 +1,64 @@
+"""What one entry observed of a server, in the form in which entries exchange it."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+__all__ = ["HALF_LIFE_S", "VALIDITY_S", "Evidence", "Incarnation", "Verdict"]
+
+# Id, address and start time of a server (Unix milliseconds).
+Incarnation = tuple[str, str, int]
+
+# Evidence loses half of its weight in this time, and all of it after the validity.
+HALF_LIFE_S = 5.0
+VALIDITY_S = 6.0
+# Failed requests, and ratio of times, from which an entry assesses a server as failing
+# or as slow. One failed request counts for one half-life.
+_FAILING_REQUESTS = 0.5
+_SLOW_RATIO = 1.5
+
+
+class Verdict(Enum):
+    """Assessment of a server by one entry."""
+
+    HEALTHY = "healthy"
+    SLOW = "slow"
+    FAILING = "failing"
+
+
+class Evidence(NamedTuple):
+    """Observations of one server by one entry.
+
+    Attributes:
+        requests: Weighted number of requests that have a result.
+        failures: Weighted number of those that the server failed.
+        ratio: Ratio of measured to expected time to first token, 0 if not measured.
+        observed_s: Time of the last observation on this entry's clock, in seconds.
+    """
+
+    requests: float
+    failures: float
+    ratio: float
+    observed_s: float
+
+    @property
+    def verdict(self) -> Verdict:
+        """Assessment by this evidence alone."""
+        if self.failures >= _FAILING_REQUESTS:
+            return Verdict.FAILING
+        return Verdict.SLOW if self.ratio >= _SLOW_RATIO else Verdict.HEALTHY
+
+    def is_valid(self, now_s: float) -> bool:
+        """Whether it still counts."""
+        return now_s - self.observed_s < VALIDITY_S
+
+    def decayed(self, now_s: float) -> Evidence:
+        """The evidence with the weight that it has now; the ratio decays towards 1."""
+        weight = 0.5 ** (max(0.0, now_s - self.observed_s) / HALF_LIFE_S)
+        ratio = 1.0 + (self.ratio - 1.0) * weight if self.ratio else 0.0
+        return self._replace(
+            requests=self.requests * weight,
+            failures=self.failures * weight,
+            ratio=ratio,
+        )
--- a/gentianhoist/placement/_server_health.py
+++ b/gentianhoist/serverhealth/_own_evidence.py
@@ -1,10 +1,12 @@
-"""Health of backend servers as one entry sees it, from the results of its requests."""
+"""Health of one backend server by the results of this entry's own requests."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-__all__ = ["ServerHealth", "ServerHealthRegistry"]
+from gentianhoist.serverhealth._evidence import HALF_LIFE_S, Evidence
+
+__all__ = ["OwnEvidence"]
 
 _FAILURE_HALF_LIFE_S = 4.0
 _FAILURE_PENALTY = 1.5
@@ -12,17 +14,20 @@
 _MIN_EJECTION_S = 1.0
 _MAX_EJECTION_S = 6.0
 _SLOWNESS_SMOOTHING = 0.2
-_MAX_SLOWNESS = 8.0
+_MIN_RATIO = 0.5
+_MAX_RATIO = 8.0
+# Weight of a new ratio in the reported one. An entry measures few ratios of a server
+# within the validity of a report; the median over entries limits outliers.
+_RATIO_SMOOTHING = 0.5
 # Weighted failures, and slowness, from which a server is chosen only while others are
 # busy.
 _SUSPECT_FAILURES = 0.25
 _SUSPECT_SLOWNESS = 1.5
-_SLOWNESS_HALF_LIFE_S = 5.0
 
 
 @dataclass
-class ServerHealth:
-    """Recent request results of one backend server.
+class OwnEvidence:
+    """Recent results of this entry's requests to one backend server.
 
     The server is ejected (gets no requests) for a while after consecutive failures. The
     ejection time doubles, up to a maximum, with each ejection since the last success.
@@ -37,6 +42,7 @@
         updated_s: Time of the last decay.
         ejected_until_s: End of the ejection.
         consecutive_ejections: Number of ejections since the last success.
+        evidence: What is reported to other entries, None before the first result.
     """
 
     failures: float = 0.0
@@ -45,6 +51,7 @@
     updated_s: float = 0.0
     ejected_until_s: float = float("-inf")
     consecutive_ejections: int = 0
+    evidence: Evidence | None = None
 
     def record_success(self, now_s: float, ratio: float | None = None) -> None:
         """Record a successful request.
@@ -56,10 +63,12 @@
         self._decay(now_s)
         self.consecutive_failures = 0
         self.consecutive_ejections = 0
+        clamped_ratio = 0.0
         if ratio is not None:
             # The bounds limit the effect of a single outlier.
-            clamped_ratio = min(_MAX_SLOWNESS, max(0.5, ratio))
+            clamped_ratio = min(_MAX_RATIO, max(_MIN_RATIO, ratio))
             self.slowness += _SLOWNESS_SMOOTHING * (clamped_ratio - self.slowness)
+        self._add_evidence(now_s, ratio=clamped_ratio)
 
     def record_failure(self, now_s: float, weight: float = 1.0) -> None:
         """Record a failure that the server itself caused.
@@ -78,6 +87,11 @@
             )
             self.ejected_until_s = now_s + ejection_s
             self.consecutive_ejections += 1
+        self._add_evidence(now_s, failures=min(1.0, weight))
+
+    def restart_evidence(self) -> None:
+        """Begin the reported evidence anew, after an ejection has ended."""
+        self.evidence = None
 
     def penalty(self, now_s: float) -> float:
         """Return the value that a request to the server is expected to lose."""
@@ -95,41 +109,24 @@
         self._decay(now_s)
         return self.failures >= _SUSPECT_FAILURES or self.slowness >= _SUSPECT_SLOWNESS
 
+    def _add_evidence(
+        self, now_s: float, *, failures: float = 0.0, ratio: float = 0.0
+    ) -> None:
+        before = Evidence(0.0, 0.0, 0.0, now_s)
+        if self.evidence is not None and self.evidence.is_valid(now_s):
+            before = self.evidence.decayed(now_s)
+        if ratio and before.ratio:
+            ratio = before.ratio + _RATIO_SMOOTHING * (ratio - before.ratio)
+        self.evidence = Evidence(
+            before.requests + 1.0,
+            before.failures + failures,
+            ratio or before.ratio,
+            now_s,
+        )
+
     def _decay(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self.updated_s)
         self.updated_s = now_s
         self.failures *= 0.5 ** (elapsed_s / _FAILURE_HALF_LIFE_S)
-        decay = 0.5 ** (elapsed_s / _SLOWNESS_HALF_LIFE_S)
+        decay = 0.5 ** (elapsed_s / HALF_LIFE_S)
         self.slowness = 1.0 + (self.slowness - 1.0) * decay
-
-
-class ServerHealthRegistry:
-    """Health of all backend servers, by incarnation (id, address and start time)."""
-
-    def __init__(self) -> None:
-        self._by_incarnation: dict[tuple[str, str, int], ServerHealth] = {}
-
-    def get(self, incarnation: tuple[str, str, int]) -> ServerHealth:
-        """Return the health of one incarnation; a new one starts healthy."""
-        return self._by_incarnation.setdefault(incarnation, ServerHealth())
-
-    def ejected(self, now_s: float) -> set[tuple[str, str, int]]:
-        """Return the incarnations that get no requests at the moment."""
-        return {
-            incarnation
-            for incarnation, health in self._by_incarnation.items()
-            if health.ejected_until_s > now_s
-        }
-
-    def suspects(self, now_s: float) -> set[tuple[str, str, int]]:
-        """Return the incarnations that failed recently or have turned slow."""
-        return {
-            incarnation
-            for incarnation, health in self._by_incarnation.items()
-            if health.is_suspect(now_s)
-        }
-
-    def keep_only(self, incarnations: set[tuple[str, str, int]]) -> None:
-        """Remove all other incarnations."""
-        for removed in self._by_incarnation.keys() - incarnations:
-            del self._by_incarnation[removed]
