Assess servers by the evidence of several entries

Cause: an entry sends an engine few requests a second, so each of 30 to 70 entries finds out by itself, late and by lost requests, that an engine fails or is slow.

Change: ServerHealth combines this entry's evidence with the newest report of each other entry. A quorum of two entries and three weighted failures (two within 6 s of an earlier ejection) eject a server for 1 to 6 s; slowness is the lower median over the entries that measured it. Reports lose half of their weight in 5 s and count for 6 s. Reports never exclude more than half of a group. After an ejection three entries, chosen by rendezvous hashing, send first; the others follow at a success or 1 s later. Evidence is combined when it arrives; a choice reads the result. Without reports, choices are as before.

Evidence: tests/serverhealth with two state machines (150 examples of 40 steps each); these fail with a quorum of one, with the upper median and with reports that don't expire. tests/dispatch passed.

Result: the exchange of the reports isn't wired yet.

--- a/gentianhoist/dispatch/_buffered_relay.py
+++ b/gentianhoist/dispatch/_buffered_relay.py
@@ -194,7 +194,7 @@
         load = (self._state.outstanding.get(server.id, 0) + 1) / max(1, server.slots)
         if self._state.rate_limits.limit_per_s(server) is not None:
             load += _RATE_LIMITED_LOAD
-        return load * health.slowness + health.penalty(now_s)
+        return load * health.slowness(now_s) + health.penalty(now_s)
 
     async def _send_and_read(self, chosen: _Chosen) -> _CompleteResponse:
         server = chosen.server
--- a/gentianhoist/dispatch/_candidates.py
+++ b/gentianhoist/dispatch/_candidates.py
@@ -64,13 +64,7 @@
             may_be_refused=not pauses
             or self._context.retry_quotas.can_withdraw(group.name),
         )
-        ejected = self._state.server_health.ejected(now_s)
-        if not ejected:
-            return members
-        not_ejected = [
-            server for server in members if server.incarnation not in ejected
-        ]
-        return not_ejected or members
+        return self._state.server_health.available(members, now_s)
 
     def may_send_to_another(self, server: BackendServer) -> bool:
         """Whether not all servers but this one have reached their rate limits."""
--- a/gentianhoist/dispatch/_engine_candidates.py
+++ b/gentianhoist/dispatch/_engine_candidates.py
@@ -93,7 +93,7 @@
     return Candidate(
         server,
         state.ledger.load(server.id),
-        max(1.0, health.slowness),
+        health.slowness(now_s),
         health.penalty(now_s),
         state.preference_cost(server.id) + limited_cost,
         state.is_within_cold_limit(server, group, now_s),
--- a/gentianhoist/serverhealth/__init__.py
+++ b/gentianhoist/serverhealth/__init__.py
@@ -2,12 +2,30 @@
 
 from gentianhoist.serverhealth._evidence import Evidence, Incarnation, Verdict
 from gentianhoist.serverhealth._own_evidence import OwnEvidence
-from gentianhoist.serverhealth.core import ServerHealthRegistry
+from gentianhoist.serverhealth._probing import is_prober
+from gentianhoist.serverhealth._reports import Report
+from gentianhoist.serverhealth._server_health import ServerHealth
+from gentianhoist.serverhealth.core import (
+    Ejected,
+    HealthChange,
+    HealthListener,
+    Returned,
+    ServerHealthRegistry,
+    SlownessChanged,
+)
 
 __all__ = [
+    "Ejected",
     "Evidence",
+    "HealthChange",
+    "HealthListener",
     "Incarnation",
     "OwnEvidence",
+    "Report",
+    "Returned",
+    "ServerHealth",
     "ServerHealthRegistry",
+    "SlownessChanged",
     "Verdict",
+    "is_prober",
 ]
--- a/gentianhoist/serverhealth/_evidence.py
+++ b/gentianhoist/serverhealth/_evidence.py
@@ -5,7 +5,14 @@
 from enum import Enum
 from typing import NamedTuple
 
-__all__ = ["HALF_LIFE_S", "VALIDITY_S", "Evidence", "Incarnation", "Verdict"]
+__all__ = [
+    "HALF_LIFE_S",
+    "SLOW_RATIO",
+    "VALIDITY_S",
+    "Evidence",
+    "Incarnation",
+    "Verdict",
+]
 
 # Id, address and start time of a server (Unix milliseconds).
 Incarnation = tuple[str, str, int]
@@ -13,10 +20,12 @@
 # Evidence loses half of its weight in this time, and all of it after the validity.
 HALF_LIFE_S = 5.0
 VALIDITY_S = 6.0
-# Failed requests, and ratio of times, from which an entry assesses a server as failing
-# or as slow. One failed request counts for one half-life.
+# Weighted failures from which an entry counts a server as failing: one failed request
+# counts for one half-life.
 _FAILING_REQUESTS = 0.5
-_SLOW_RATIO = 1.5
+# Ratio from which a server counts as slow for other entries. Slow servers of the
+# deployments take 4 to 8 times as long, and the ratio of a short prompt scatters.
+SLOW_RATIO = 2.0
 
 
 class Verdict(Enum):
@@ -47,7 +56,7 @@
         """Assessment by this evidence alone."""
         if self.failures >= _FAILING_REQUESTS:
             return Verdict.FAILING
-        return Verdict.SLOW if self.ratio >= _SLOW_RATIO else Verdict.HEALTHY
+        return Verdict.SLOW if self.ratio >= SLOW_RATIO else Verdict.HEALTHY
 
     def is_valid(self, now_s: float) -> bool:
         """Whether it still counts."""
--- a/gentianhoist/serverhealth/_own_evidence.py
+++ b/gentianhoist/serverhealth/_own_evidence.py
@@ -98,6 +98,13 @@
         self._decay(now_s)
         return _FAILURE_PENALTY * self.failures
 
+    def current_slowness(self, now_s: float) -> float:
+        """Return the slowness now, 1 at least."""
+        if self.slowness <= 1.0:
+            return 1.0
+        self._decay(now_s)
+        return self.slowness
+
     def is_ejected(self, now_s: float) -> bool:
         """Whether the server gets no requests at the moment."""
         return now_s < self.ejected_until_s
