Exchange evidence about servers between entries

Cause: an entry learned of a failing or slow engine only from its own requests.

Change: HealthExchange registers ServerObserved (tag w) with the peers. The gateway wires it.

--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -36,6 +36,7 @@
     KeyQuarantine,
     RequestQuarantine,
 )
+from gentianhoist.serverhealth import HealthExchange
 from gentianhoist.telemetry import DecisionLog, EntryMetrics
 
 __all__ = ["Gateway"]
@@ -130,6 +131,15 @@
         self._peers.set_rate_limits(self._dispatch.rate_limits)
         self._peers.set_leaving(self._dispatch)
         self._peers.set_quotas(self._dispatch.retry_quotas)
+        self._health_exchange = HealthExchange(
+            self._state.server_health,
+            self._peers,
+            settings.host,
+            self._clock,
+            log,
+            self._metrics,
+            self._dispatch.queue_scheduler.request_scan,
+        )
         self._dispatcher = Dispatcher(self._dispatch)
         self._caller_server = HttpServer(
             self._serve, lambda: self._state.routing.limits, self._count_unreadable
@@ -387,6 +397,7 @@
             now_s = self._clock.monotonic_s()
             self._state.ledger.expire(now_s)
             self._peers.tick(now_s)
+            self._health_exchange.tick(now_s)
             known = 1 + len(self._peers.peers)
             self._state.set_heard_entries(
                 1 + self._peers.live_count, known if self._peers.is_registry_read else 0
--- a/gentianhoist/serverhealth/__init__.py
+++ b/gentianhoist/serverhealth/__init__.py
@@ -1,6 +1,13 @@
 """Health of backend servers, from this entry's requests and reports of others."""
 
-from gentianhoist.serverhealth._evidence import Evidence, Incarnation, Verdict
+from gentianhoist.serverhealth._evidence import (
+    Evidence,
+    Incarnation,
+    ResultPhase,
+    Verdict,
+)
+from gentianhoist.serverhealth._exchange import HealthExchange
+from gentianhoist.serverhealth._messages import ServerObserved
 from gentianhoist.serverhealth._own_evidence import OwnEvidence
 from gentianhoist.serverhealth._probing import is_prober
 from gentianhoist.serverhealth._reports import Report
@@ -18,7 +25,10 @@
     "Ejected",
     "Evidence",
     "HealthChange",
+    "HealthExchange",
     "HealthListener",
+    "ResultPhase",
+    "ServerObserved",
     "Incarnation",
     "OwnEvidence",
     "Report",
--- a/gentianhoist/serverhealth/_evidence.py
+++ b/gentianhoist/serverhealth/_evidence.py
@@ -11,6 +11,7 @@
     "VALIDITY_S",
     "Evidence",
     "Incarnation",
+    "ResultPhase",
     "Verdict",
 ]
 
@@ -36,6 +37,17 @@
     FAILING = "failing"
 
 
+class ResultPhase(Enum):
+    """When the result of a request arrived."""
+
+    ORDINARY = "ordinary"
+    # The first one after an ejection by this entry's evidence alone, or after another
+    # entry has reported a success.
+    AFTER_EJECTION = "after an ejection"
+    # The first one after an ejection, while the other entries wait for a success.
+    PROBE = "probe"
+
+
 class Evidence(NamedTuple):
     """Observations of one server by one entry.
 
--- a/gentianhoist/serverhealth/_reports.py
+++ b/gentianhoist/serverhealth/_reports.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from gentianhoist.serverhealth._evidence import Evidence
+from gentianhoist.serverhealth._evidence import Evidence, Verdict
 
 __all__ = ["Report", "ReportedEvidence"]
 
@@ -69,6 +69,15 @@
                 del self._by_host[host]
         return [report.evidence for report in self._by_host.values()]
 
+    def failing_hosts(self, now_s: float) -> list[str]:
+        """IP addresses of the entries that report the server as failing."""
+        return [
+            host
+            for host, report in self._by_host.items()
+            if report.evidence.is_valid(now_s)
+            and report.evidence.decayed(now_s).verdict is Verdict.FAILING
+        ]
+
     def _remove_oldest(self) -> None:
         oldest = min(
             self._by_host, key=lambda host: self._by_host[host].evidence.observed_s
--- a/gentianhoist/serverhealth/_server_health.py
+++ b/gentianhoist/serverhealth/_server_health.py
@@ -9,7 +9,12 @@
     is_failing,
 )
 from gentianhoist.serverhealth._ejection import SharedEjection
-from gentianhoist.serverhealth._evidence import SLOW_RATIO, Evidence, Verdict
+from gentianhoist.serverhealth._evidence import (
+    SLOW_RATIO,
+    Evidence,
+    ResultPhase,
+    Verdict,
+)
 from gentianhoist.serverhealth._own_evidence import OwnEvidence
 from gentianhoist.serverhealth._reports import Report, ReportedEvidence
 
@@ -71,29 +76,21 @@
         """Whether this entry sends nothing to the server while there are others."""
         return self.own.is_ejected(now_s) or self.ejection.is_excluded(now_s)
 
-    def record_success(self, now_s: float, ratio: float | None) -> bool:
-        """Record a successful request of this entry; as in `OwnEvidence`.
-
-        Returns:
-            Whether it is the first result since an ejection has ended.
-        """
-        is_first = self._restart_after_ejection(now_s)
+    def record_success(self, now_s: float, ratio: float | None) -> ResultPhase:
+        """Record a successful request of this entry; as in `OwnEvidence`."""
+        phase = self._restart_after_ejection(now_s)
         self.own.record_success(now_s, ratio)
         if now_s >= self.ejection.until_s:
             self.ejection.release()
-        return is_first
-
-    def record_failure(self, now_s: float, weight: float) -> bool:
-        """Record a failed request of this entry; as in `OwnEvidence`.
+        return phase
 
-        Returns:
-            Whether it is the first result since an ejection has ended.
-        """
-        is_first = self._restart_after_ejection(now_s)
+    def record_failure(self, now_s: float, weight: float) -> ResultPhase:
+        """Record a failed request of this entry; as in `OwnEvidence`."""
+        phase = self._restart_after_ejection(now_s)
         self.own.record_failure(now_s, weight)
         if self.own.is_ejected(now_s):
             self._restart_s = self.ejection_ended_s
-        return is_first
+        return phase
 
     def receive(self, report: Report, now_s: float) -> bool:
         """Take the evidence of another entry; returns whether it is news."""
@@ -115,6 +112,10 @@
         since = [item for item in evidence if item.observed_s >= self.ejection.until_s]
         return is_failing(since, now_s, self.ejection.min_failures(now_s))
 
+    def failing_hosts(self, now_s: float) -> list[str]:
+        """IP addresses of the other entries that report it as failing."""
+        return self._reports.failing_hosts(now_s)
+
     def eject(self, now_s: float, *, is_prober: bool) -> None:
         """Eject the server by the evidence of several entries."""
         self.ejection.begin(now_s, is_prober=is_prober)
@@ -135,9 +136,12 @@
         ):
             self.ejection.release()
 
-    def _restart_after_ejection(self, now_s: float) -> bool:
+    def _restart_after_ejection(self, now_s: float) -> ResultPhase:
+        """Begin the evidence anew at the first result after an ejection."""
         if self._restart_s is None or now_s < self._restart_s:
-            return False
+            return ResultPhase.ORDINARY
         self._restart_s = None
         self.own.restart_evidence()
-        return True
+        if self.ejection.is_released:
+            return ResultPhase.AFTER_EJECTION
+        return ResultPhase.PROBE
--- a/gentianhoist/serverhealth/core.py
+++ b/gentianhoist/serverhealth/core.py
@@ -7,7 +7,12 @@
 from typing import Protocol
 
 from gentianhoist.fleet import BackendServer
-from gentianhoist.serverhealth._evidence import SLOW_RATIO, Evidence, Incarnation
+from gentianhoist.serverhealth._evidence import (
+    SLOW_RATIO,
+    Evidence,
+    Incarnation,
+    ResultPhase,
+)
 from gentianhoist.serverhealth._reports import Report
 from gentianhoist.serverhealth._server_health import ServerHealth
 
@@ -35,11 +40,13 @@
         is_shared: Whether by the evidence of several entries, or by this entry's own.
         until_s: End of the ejection.
         is_prober: Whether this entry sends the first requests after it.
+        hosts: IP addresses of the other entries that report it as failing.
     """
 
     is_shared: bool
     until_s: float
     is_prober: bool
+    hosts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -79,8 +86,7 @@
         incarnation: Incarnation,
         evidence: Evidence,
         now_s: float,
-        *,
-        is_first: bool,
+        phase: ResultPhase,
     ) -> None:
         """Take this entry's evidence after the result of a request.
 
@@ -88,7 +94,7 @@
             incarnation: The server.
             evidence: This entry's evidence.
             now_s: Current time.
-            is_first: Whether it is the first result since an ejection has ended.
+            phase: When the result arrived.
         """
         ...
 
@@ -110,8 +116,7 @@
         incarnation: Incarnation,
         evidence: Evidence,
         now_s: float,
-        *,
-        is_first: bool,
+        phase: ResultPhase,
     ) -> None:
         """Do nothing."""
 
@@ -170,8 +175,8 @@
             ratio: Ratio of measured to expected processing time, or None if unknown.
         """
         health = self.get(incarnation)
-        is_first = health.record_success(now_s, ratio)
-        self._handle_result(incarnation, health, now_s, is_first=is_first)
+        phase = health.record_success(now_s, ratio)
+        self._handle_result(incarnation, health, now_s, phase)
 
     def record_failure(
         self, incarnation: Incarnation, now_s: float, weight: float = 1.0
@@ -186,10 +191,10 @@
         """
         health = self.get(incarnation)
         ejected_until_s = health.own.ejected_until_s
-        is_first = health.record_failure(now_s, weight)
+        phase = health.record_failure(now_s, weight)
         if health.own.ejected_until_s != ejected_until_s:
             self._handle_own_ejection(incarnation, health, now_s)
-        self._handle_result(incarnation, health, now_s, is_first=is_first)
+        self._handle_result(incarnation, health, now_s, phase)
 
     def receive(self, incarnation: Incarnation, report: Report, now_s: float) -> bool:
         """Take the evidence of another entry.
@@ -289,13 +294,10 @@
         incarnation: Incarnation,
         health: ServerHealth,
         now_s: float,
-        *,
-        is_first: bool,
+        phase: ResultPhase,
     ) -> None:
         assert health.own.evidence is not None
-        self._listener.on_result(
-            incarnation, health.own.evidence, now_s, is_first=is_first
-        )
+        self._listener.on_result(incarnation, health.own.evidence, now_s, phase)
         if health.has_reports:
             self._combine(incarnation, health, now_s)
 
@@ -306,7 +308,8 @@
             is_prober = self._listener.is_prober(incarnation)
             health.eject(now_s, is_prober=is_prober)
             self._excluded[incarnation] = health
-            change = Ejected(True, health.ejection.until_s, is_prober)
+            hosts = tuple(health.failing_hosts(now_s))
+            change = Ejected(True, health.ejection.until_s, is_prober, hosts)
             self._listener.on_change(incarnation, change, now_s)
         self._update_slow(incarnation, health.shared_slowness(now_s), now_s)
 
--- a/gentianhoist/telemetry/_exposition.py
+++ b/gentianhoist/telemetry/_exposition.py
@@ -76,6 +76,30 @@
             "Refusals in which backend servers named a pause.",
             registry=registry,
         )
+        self._ejections = Counter(
+            "entry_server_ejections",
+            "Ejections of backend servers, by this entry's own evidence or that of "
+            "several entries.",
+            ["source"],
+            registry=registry,
+        )
+        self._server_reports = Counter(
+            "entry_server_reports",
+            "Evidence about backend servers exchanged with other entries: sent, "
+            "repeated, taken, or ignored as outdated or known.",
+            ["action"],
+            registry=registry,
+        )
+        self._ejected_servers = Gauge(
+            "entry_ejected_servers",
+            "Backend servers that get no requests from this entry since they fail.",
+            registry=registry,
+        )
+        self._slow_servers = Gauge(
+            "entry_slow_servers",
+            "Backend servers that are slow by the evidence of several entries.",
+            registry=registry,
+        )
         self._held_requests = Gauge(
             "entry_held_requests",
             "Contents of requests that are held or tried because they crash servers.",
@@ -138,6 +162,23 @@
         """Count a refusal in which a backend server named a pause."""
         self._server_pauses.inc()
 
+    def record_ejection(self, source: str) -> None:
+        """Count an ejection of a backend server.
+
+        Args:
+            source: Whose evidence led to it.
+        """
+        self._ejections.labels(source).inc()
+
+    def record_server_report(self, action: str) -> None:
+        """Count evidence about a backend server, by what was done with it."""
+        self._server_reports.labels(action).inc()
+
+    def set_server_health(self, *, ejected: int, slow: int) -> None:
+        """Set the numbers of backend servers that are ejected, and that are slow."""
+        self._ejected_servers.set(ejected)
+        self._slow_servers.set(slow)
+
     def set_held(self, *, segments: int, requests: int) -> None:
         """Set the numbers of prompt segments and requests that are held or tried."""
         self._held_segments.set(segments)
--- a/tests/serverhealth/test_core.py
+++ b/tests/serverhealth/test_core.py
@@ -11,7 +11,7 @@
     Returned,
     ServerHealthRegistry,
 )
-from gentianhoist.serverhealth._evidence import VALIDITY_S
+from gentianhoist.serverhealth._evidence import VALIDITY_S, ResultPhase
 
 SERVERS = [BackendServer(f"s{i}", "g", "10.1.0.1", 8000 + i, "z", 6) for i in range(6)]
 INCARNATIONS = [server.incarnation for server in SERVERS]
@@ -30,8 +30,8 @@
     def is_prober(self, incarnation) -> bool:
         return self.probes
 
-    def on_result(self, incarnation, evidence, now_s, *, is_first) -> None:
-        self.results.append((incarnation, evidence, is_first))
+    def on_result(self, incarnation, evidence, now_s, phase) -> None:
+        self.results.append((incarnation, evidence, phase))
 
     def on_change(self, incarnation, change, now_s) -> None:
         self.changes.append((incarnation, change, now_s))
@@ -70,7 +70,7 @@
         registry.record_failure(INCARNATIONS[0], 10.0)
         assert not listener.changes
         registry.receive(INCARNATIONS[0], _report("b", 1, 10.1), 10.1)
-        assert listener.changes[0][1] == Ejected(True, 11.1, True)
+        assert listener.changes[0][1] == Ejected(True, 11.1, True, ("a", "b"))
 
     def test_one_host_that_restarts_counts_once(self):
         # Guards against: the runs of an entry that crashes again and again are counted
@@ -157,8 +157,8 @@
         registry.record_failure(INCARNATIONS[0], 10.0)
         registry.record_failure(INCARNATIONS[0], 10.0)
         registry.record_success(INCARNATIONS[0], 11.1, 1.0)
-        _, evidence, is_first = listener.results[-1]
-        assert is_first
+        _, evidence, phase = listener.results[-1]
+        assert phase is ResultPhase.AFTER_EJECTION
         assert evidence.failures == 0.0
 
 
