Keep refusals out of the evidence for other entries

Cause: a server that is full, limited or cold refuses requests of many entries at once. Each refusal counted 0.3 failures in the evidence that is reported, so several entries together could eject a sound server. Found while looking into one failure of tests/platform_adapter/test_rate_limits.py (binds_all_entries_together[e-]) at a load average of 18 on 7 cores, which passed when it ran again; its cause isn't traced.

Change: only failures of weight 1 and more are evidence for others. An entry's own assessment counts refusals as before.

--- a/gentianhoist/serverhealth/_own_evidence.py
+++ b/gentianhoist/serverhealth/_own_evidence.py
@@ -6,7 +6,7 @@
 
 from gentianhoist.serverhealth._evidence import HALF_LIFE_S, Evidence
 
-__all__ = ["OwnEvidence"]
+__all__ = ["MIN_REPORTED_WEIGHT", "OwnEvidence"]
 
 _FAILURE_HALF_LIFE_S = 4.0
 _FAILURE_PENALTY = 1.5
@@ -19,6 +19,9 @@
 # Weight of a new ratio in the reported one. An entry measures few ratios of a server
 # within the validity of a report; the median over entries limits outliers.
 _RATIO_SMOOTHING = 0.5
+# Weight from which a failure is evidence for other entries. A refusal weighs less: a
+# server that is full, limited or cold refuses requests of many entries at once.
+MIN_REPORTED_WEIGHT = 1.0
 # Weighted failures, and slowness, from which a server is chosen only while others are
 # busy.
 _SUSPECT_FAILURES = 0.25
@@ -87,7 +90,8 @@
             )
             self.ejected_until_s = now_s + ejection_s
             self.consecutive_ejections += 1
-        self._add_evidence(now_s, failures=min(1.0, weight))
+        if weight >= MIN_REPORTED_WEIGHT:
+            self._add_evidence(now_s, failures=1.0)
 
     def restart_evidence(self) -> None:
         """Begin the reported evidence anew, after an ejection has ended."""
--- a/gentianhoist/serverhealth/_server_health.py
+++ b/gentianhoist/serverhealth/_server_health.py
@@ -15,7 +15,7 @@
     ResultPhase,
     Verdict,
 )
-from gentianhoist.serverhealth._own_evidence import OwnEvidence
+from gentianhoist.serverhealth._own_evidence import MIN_REPORTED_WEIGHT, OwnEvidence
 from gentianhoist.serverhealth._reports import Report, ReportedEvidence
 
 __all__ = ["ServerHealth"]
@@ -84,9 +84,15 @@
             self.ejection.release()
         return phase
 
-    def record_failure(self, now_s: float, weight: float) -> ResultPhase:
-        """Record a failed request of this entry; as in `OwnEvidence`."""
-        phase = self._restart_after_ejection(now_s)
+    def record_failure(self, now_s: float, weight: float) -> ResultPhase | None:
+        """Record a failed request of this entry; as in `OwnEvidence`.
+
+        Returns:
+            When the failure arrived, None if it is no evidence for other entries.
+        """
+        phase = None
+        if weight >= MIN_REPORTED_WEIGHT:
+            phase = self._restart_after_ejection(now_s)
         self.own.record_failure(now_s, weight)
         if self.own.is_ejected(now_s):
             self._restart_s = self.ejection_ended_s
--- a/gentianhoist/serverhealth/core.py
+++ b/gentianhoist/serverhealth/core.py
@@ -194,7 +194,8 @@
         phase = health.record_failure(now_s, weight)
         if health.own.ejected_until_s != ejected_until_s:
             self._handle_own_ejection(incarnation, health, now_s)
-        self._handle_result(incarnation, health, now_s, phase)
+        if phase is not None:
+            self._handle_result(incarnation, health, now_s, phase)
 
     def receive(self, incarnation: Incarnation, report: Report, now_s: float) -> bool:
         """Take the evidence of another entry.
--- a/tests/serverhealth/test_core.py
+++ b/tests/serverhealth/test_core.py
@@ -117,6 +117,15 @@
         restarted = SERVERS[0]._replace(started_ms=99)
         assert registry.available([restarted, *SERVERS[1:]], 10.0)[0] == restarted
 
+    def test_refusals_are_no_evidence_for_other_entries(self):
+        # Guards against: engines that are full, cold or limited refuse requests of many
+        # entries, and all entries leave them idle.
+        registry, listener = _registry()
+        for _ in range(5):
+            registry.record_failure(INCARNATIONS[0], 10.0, 0.3)
+        assert listener.results == []
+        assert registry.get(INCARNATIONS[0]).own.evidence is None
+
     def test_a_removed_server_leaves_nothing_behind(self):
         registry, _ = _registry()
         _eject(registry, 10.0)
