--- a/gentianhoist/serverhealth/_own_evidence.py
+++ b/gentianhoist/serverhealth/_own_evidence.py
@@ -137,6 +137,8 @@
 
     def _decay(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self.updated_s)
+        if not elapsed_s:
+            return
         self.updated_s = now_s
         self.failures *= 0.5 ** (elapsed_s / _FAILURE_HALF_LIFE_S)
         decay = 0.5 ** (elapsed_s / HALF_LIFE_S)
--- a/tests/dispatch/test_engine_candidates.py
+++ b/tests/dispatch/test_engine_candidates.py
@@ -6,6 +6,7 @@
 from gentianhoist.dispatch._engine_candidates import shortlisted_candidates
 from gentianhoist.fleet import BackendServer, ServerGroup
 from gentianhoist.placement import ONE_ENGINE, Commitment, choose_engines
+from gentianhoist.serverhealth import Evidence, Report
 from tests.placement.test_choice import PROFILE, SHORT
 
 ENTRIES = 68
@@ -68,3 +69,16 @@
             state.ledger.record_first_event(id_, 0.0)
     engines = shortlisted_candidates(state, group, servers, 0.0, ONE_ENGINE)
     assert cold & {item.server.id for item in engines.candidates}
+
+
+def test_engines_that_other_entries_measured_as_slow_are_avoided():
+    """A fifth of the engines is 6 times slower, and this entry hasn't used them yet."""
+    states = [DispatchState(DispatchPolicy(), seed=seed) for seed in range(10)]
+    slow = {item.id for item in SERVERS[: ENGINES // 5]}
+    for state in states:
+        for server in SERVERS[: ENGINES // 5]:
+            for host in ("10.0.0.2", "10.0.0.3"):
+                report = Report(host, "r", 1, Evidence(2.0, 0.0, 6.0, 0.0))
+                state.server_health.receive(server.incarnation, report, 0.0)
+    chosen = {_choose(state) for state in states for _ in range(5)}
+    assert not chosen & slow
