Ask more of a single slow response, and read health as fast as before

Cause: one response at twice the expected time made a server slow for the reports, and short prompts scatter that much; the reports of a healthy fleet would use up their bound.

Change: a single measurement counts as slow from three times the expected time on. The registry builds the health of a server once, and asks only for servers that are slow by reports whether they are still so.

--- a/gentianhoist/serverhealth/_evidence.py
+++ b/gentianhoist/serverhealth/_evidence.py
@@ -27,6 +27,10 @@
 # Ratio from which a server counts as slow for other entries. Slow servers of the
 # deployments take 4 to 8 times as long, and the ratio of a short prompt scatters.
 SLOW_RATIO = 2.0
+# A single measurement has to be further off: it may have met other work, and a short
+# prompt's time is mostly the way to the engine.
+_SINGLE_SLOW_RATIO = 3.0
+_SINGLE_REQUESTS = 1.5
 
 
 class Verdict(Enum):
@@ -68,7 +72,9 @@
         """Assessment by this evidence alone."""
         if self.failures >= _FAILING_REQUESTS:
             return Verdict.FAILING
-        return Verdict.SLOW if self.ratio >= SLOW_RATIO else Verdict.HEALTHY
+        is_single = self.requests < _SINGLE_REQUESTS
+        slow_ratio = _SINGLE_SLOW_RATIO if is_single else SLOW_RATIO
+        return Verdict.SLOW if self.ratio >= slow_ratio else Verdict.HEALTHY
 
     def is_valid(self, now_s: float) -> bool:
         """Whether it still counts."""
--- a/gentianhoist/serverhealth/_server_health.py
+++ b/gentianhoist/serverhealth/_server_health.py
@@ -10,7 +10,6 @@
 )
 from gentianhoist.serverhealth._ejection import SharedEjection
 from gentianhoist.serverhealth._evidence import (
-    SLOW_RATIO,
     Evidence,
     ResultPhase,
     Verdict,
@@ -58,7 +57,10 @@
 
     def slowness(self, now_s: float) -> float:
         """Ratio of its processing time to the expected one, 1 at least."""
-        return max(self.own.current_slowness(now_s), self._slowness.at(now_s))
+        own_slowness = self.own.current_slowness(now_s)
+        if now_s >= self._slowness.until_s:
+            return own_slowness
+        return max(own_slowness, self._slowness.at(now_s))
 
     def shared_slowness(self, now_s: float) -> float:
         """The same by the evidence of several entries only."""
@@ -68,10 +70,6 @@
         """Value that a request to the server is expected to lose."""
         return self.own.penalty(now_s)
 
-    def is_suspect(self, now_s: float) -> bool:
-        """Whether it failed recently or has turned slow."""
-        return self.own.is_suspect(now_s) or self._slowness.at(now_s) >= SLOW_RATIO
-
     def is_excluded(self, now_s: float) -> bool:
         """Whether this entry sends nothing to the server while there are others."""
         return self.own.is_ejected(now_s) or self.ejection.is_excluded(now_s)
--- a/gentianhoist/serverhealth/core.py
+++ b/gentianhoist/serverhealth/core.py
@@ -153,7 +153,10 @@
 
     def get(self, incarnation: Incarnation) -> ServerHealth:
         """Return the health of one incarnation; a new one starts healthy."""
-        return self._by_incarnation.setdefault(incarnation, ServerHealth())
+        health = self._by_incarnation.get(incarnation)
+        if health is None:
+            health = self._by_incarnation[incarnation] = ServerHealth()
+        return health
 
     def ejection_ended_s(self, incarnation: Incarnation) -> float | None:
         """When the last ejection of a server ended, on the entry's clock in seconds.
@@ -261,11 +264,18 @@
 
     def suspects(self, now_s: float) -> set[Incarnation]:
         """Return the incarnations that failed recently or have turned slow."""
-        return {
+        suspects = {
             incarnation
             for incarnation, health in self._by_incarnation.items()
-            if health.is_suspect(now_s)
+            if health.own.is_suspect(now_s)
         }
+        if self._slow:
+            suspects.update(
+                incarnation
+                for incarnation in self._slow
+                if self._by_incarnation[incarnation].shared_slowness(now_s) > 1.0
+            )
+        return suspects
 
     def keep_only(self, incarnations: Collection[Incarnation]) -> None:
         """Remove all other incarnations."""
