--- a/gentianhoist/dispatch/_buffered_relay.py
+++ b/gentianhoist/dispatch/_buffered_relay.py
@@ -194,7 +194,7 @@
         load = (self._state.outstanding.get(server.id, 0) + 1) / max(1, server.slots)
         if self._state.rate_limits.limit_per_s(server) is not None:
             load += _RATE_LIMITED_LOAD
-        return load * health.slowness + health.penalty(now_s)
+        return load * health.slowness(now_s) + health.penalty(now_s)
 
     async def _send_and_read(self, chosen: _Chosen) -> _CompleteResponse:
         server = chosen.server
@@ -244,8 +244,7 @@
         self, server: BackendServer, complete: _CompleteResponse, elapsed_s: float
     ) -> None:
         now_s = self._context.clock.monotonic_s()
-        health = self._state.server_health.get(server.incarnation)
-        health.record_success(now_s)
+        self._state.server_health.record_success(server.incarnation, now_s)
         self._has_response = True
         self._quarantine.report_completed(
             self._request.call.quarantine_keys,
--- a/gentianhoist/dispatch/_engine_candidates.py
+++ b/gentianhoist/dispatch/_engine_candidates.py
@@ -116,7 +116,7 @@
     return Candidate(
         server,
         load,
-        max(1.0, health.slowness),
+        health.slowness(now_s),
         health.penalty(now_s),
         state.preference_cost(server.id) + limited_cost,
         state.is_within_cold_limit(server, group, now_s),
