Add the bounds of a slow start: units of a cold server, and its pace

Cause: each entry has a fixed part of a cold server's rate, and its full share immediately afterwards. Parts below one request per second could all fall into one second, and unused parts were of no use to others. Change: package slowstart with pure aggregates, not wired yet. Units are divided alike by all entries and lent; the pace limits the concurrent requests until the server responds as expected.

--- /dev/null
+++ b/gentianhoist/slowstart/core.py
@@ -0,0 +1,324 @@
+"""Slow start of servers that started or recovered, without any I/O.
+
+Two bounds hold a server back. While it is cold, all entries together send it at most a
+fixed number of requests in any window of a second, whatever they hear of each other.
+And until it responds as expected, the number of its concurrent requests is a fraction
+of its slots that is found from its responses.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections.abc import Collection
+from typing import NamedTuple
+
+from gentianhoist.fleet import BackendServer, ServerGroup
+from gentianhoist.slowstart._pace import PaceCause, PaceReport, ServerPace
+from gentianhoist.slowstart._shares import UnitShares
+from gentianhoist.slowstart._units import StartUnits, UnitLoan, UnitRequest
+
+__all__ = ["Incarnation", "PaceChange", "SlowStarts"]
+
+Incarnation = tuple[str, str, int]
+
+# Changes that are kept for the log until they are taken.
+_MAX_CHANGES = 1_000
+# Change of the pace in slots from which on the other entries are told.
+_MIN_REPORTED_SLOTS = 0.5
+
+
+class PaceChange(NamedTuple):
+    """A change of what this entry assumes of a server's start.
+
+    Attributes:
+        server_id: Identifier of the server.
+        cause: Why it changed.
+        pace: Fraction of its slots that may be in use, over all entries.
+        max_requests: The same as a number of requests.
+        answered: Responses as expected, over all entries.
+        after_s: Seconds since the slow start began.
+    """
+
+    server_id: str
+    cause: PaceCause
+    pace: float
+    max_requests: int
+    answered: int
+    after_s: float
+
+
+class _Paced:
+    """A server with its pace, and what was logged and reported of it."""
+
+    def __init__(self, server: BackendServer, now_s: float) -> None:
+        self.server = server
+        self.pace = ServerPace(server.slots, server.cold_until_s, now_s)
+        self.logged_requests = self.pace.max_requests(now_s)
+        self.reported_pace: float | None = None
+
+    def is_news(self, now_s: float) -> bool:
+        """Whether the other entries don't know what this one found."""
+        own = self.pace.own_report(now_s)
+        if own is None:
+            return False
+        if self.reported_pace is None:
+            return True
+        change = abs(own.pace - self.reported_pace) * max(1, self.server.slots)
+        return change >= _MIN_REPORTED_SLOTS
+
+
+class SlowStarts:
+    """Aggregate of the slow starts of all servers, as one entry sees them.
+
+    It acts only on servers whose group has a cold-start rate. Every `now_s` is the
+    current time on the entry's clock, in seconds.
+
+    Args:
+        host: IP address of this entry.
+        rate_ratio: Fraction of a cold server's request rate that is used.
+        assumed_entries: Number of entries to assume until they are set.
+        rng: Source of randomness.
+    """
+
+    def __init__(
+        self, host: str, rate_ratio: float, assumed_entries: int, rng: random.Random
+    ) -> None:
+        self._rate_ratio = rate_ratio
+        self._shares = UnitShares(host, assumed_entries)
+        self._units = StartUnits(self._shares, rng)
+        self._heard_ratio = 1.0
+        self._entries = assumed_entries
+        self._paced: dict[Incarnation, _Paced] = {}
+        self._changes: list[PaceChange] = []
+
+    def __len__(self) -> int:
+        return len(self._paced)
+
+    # The entries.
+
+    def set_entries(self, hosts: Collection[str], assumed: int, now_s: float) -> None:
+        """Set the known entries.
+
+        Args:
+            hosts: IP addresses of the other entries.
+            assumed: Number of entries to divide by, set above the known number.
+        """
+        self._entries = 1 + len(hosts)
+        self._shares.set_entries(hosts, assumed, now_s)
+
+    def set_heard_ratio(self, ratio: float) -> None:
+        """Set the fraction of the known entries that this one hears.
+
+        An entry that is cut off doesn't know the requests of the others, so it uses no
+        more than this fraction of a pace.
+        """
+        self._heard_ratio = min(1.0, max(0.0, ratio))
+
+    # Requests.
+
+    def may_start(
+        self, server: BackendServer, group: ServerGroup, requests: int, now_s: float
+    ) -> bool:
+        """Whether both bounds allow one more request to a server.
+
+        Args:
+            server: The server.
+            group: Its server group.
+            requests: Concurrent requests on it, over all entries.
+        """
+        if not group.cold_requests_per_s:
+            return True
+        paced = self._get_paced(server, now_s)
+        if paced is None:
+            return True
+        if requests >= self._max_requests(paced, now_s):
+            return False
+        return self.has_unit(server, group, now_s)
+
+    def may_start_locally(
+        self, server: BackendServer, group: ServerGroup, requests: int, now_s: float
+    ) -> bool:
+        """The same for a server whose requests from other entries aren't known.
+
+        Args:
+            server: The server.
+            group: Its server group.
+            requests: Concurrent requests on it, of this entry only.
+        """
+        return self.may_start(server, group, requests * self._entries, now_s)
+
+    def has_unit(self, server: BackendServer, group: ServerGroup, now_s: float) -> bool:
+        """Whether the hard bound allows one more request to a server."""
+        rate = self.cold_rate(server, group, now_s)
+        return not rate or self._units.can_use(server.id, rate, now_s)
+
+    def cold_rate(
+        self, server: BackendServer, group: ServerGroup, now_s: float
+    ) -> float:
+        """Requests per second that all entries send to a server, 0 if unlimited."""
+        if not group.cold_requests_per_s or now_s >= server.cold_until_s:
+            return 0.0
+        return group.cold_requests_per_s * self._rate_ratio
+
+    def record_sent(self, server: BackendServer, now_s: float) -> None:
+        """Record a request that is being sent to a server."""
+        if now_s < server.cold_until_s:
+            self._units.use(server.id, now_s)
+
+    # Evidence.
+
+    def begin(self, server: BackendServer, now_s: float) -> None:
+        """Begin a slow start of a server that recovered, or begin it anew."""
+        self._begin(server, PaceCause.RECOVERED, now_s)
+
+    def record_response(
+        self, server: BackendServer, after_s: float, expected_s: float, now_s: float
+    ) -> None:
+        """Record a response.
+
+        Args:
+            server: The server.
+            after_s: Seconds from the send to the first event.
+            expected_s: Seconds that a healthy server would have taken.
+        """
+        paced = self._paced.get(server.incarnation)
+        if paced is not None:
+            cause = paced.pace.record_response(after_s, expected_s, now_s)
+            self._note_change(paced, cause, now_s)
+
+    def record_refusal(self, server: BackendServer, now_s: float) -> None:
+        """Record a refusal, or a request that was lost without a response."""
+        paced = self._paced.get(server.incarnation)
+        if paced is not None:
+            cause = paced.pace.record_refusal(now_s)
+            self._note_change(paced, cause, now_s)
+
+    def receive(
+        self, incarnation: Incarnation, entry: str, report: PaceReport, now_s: float
+    ) -> None:
+        """Take what another entry found.
+
+        Args:
+            incarnation: The server; one without a slow start is ignored.
+            entry: Incarnation of the entry.
+            report: Its report, with its time on this entry's clock.
+        """
+        paced = self._paced.get(incarnation)
+        if paced is not None:
+            paced.pace.receive(entry, report, now_s)
+            self._note_change(paced, PaceCause.EVIDENCE, now_s)
+
+    # Loans of units.
+
+    def request_unit(
+        self, server: BackendServer, hosts: Collection[str], now_s: float
+    ) -> UnitRequest:
+        """Create a request for a unit to entries that are given by their addresses."""
+        return self._units.request(server.id, hosts, now_s)
+
+    def lenders(self, server: BackendServer, group: ServerGroup) -> list[str]:
+        """Addresses of the other entries that have a unit of a server."""
+        rate = group.cold_requests_per_s * self._rate_ratio
+        return self._shares.holders(server.id, rate)
+
+    def lend(
+        self,
+        request: UnitRequest,
+        server: BackendServer,
+        group: ServerGroup,
+        now_s: float,
+    ) -> UnitLoan | None:
+        """Give up a unit in favour of another entry, or return None."""
+        rate = self.cold_rate(server, group, now_s)
+        return self._units.lend(request, rate, now_s) if rate else None
+
+    def accept(self, host: str, loan: UnitLoan, now_s: float) -> bool:
+        """Take a unit of another entry; returns whether it can be used."""
+        return self._units.accept(host, loan, now_s)
+
+    # Upkeep.
+
+    def expire(self, now_s: float) -> None:
+        """End the slow starts that are over."""
+        for incarnation, paced in list(self._paced.items()):
+            cause = paced.pace.end_cause(now_s)
+            if cause is not None:
+                self._add_change(paced, cause, now_s)
+                del self._paced[incarnation]
+            else:
+                # Evidence that has expired changes the pace as well.
+                self._note_change(paced, PaceCause.EVIDENCE, now_s)
+
+    def reports(self, now_s: float) -> list[tuple[Incarnation, PaceReport]]:
+        """What this entry found and is still valid."""
+        return [
+            (incarnation, report)
+            for incarnation, paced in self._paced.items()
+            if (report := paced.pace.own_report(now_s)) is not None
+        ]
+
+    def take_news(
+        self, limit: int, now_s: float
+    ) -> list[tuple[Incarnation, PaceReport]]:
+        """Take some of the reports that the other entries lack, the lowest paces first.
+
+        Args:
+            limit: Maximum number of reports.
+        """
+        news = [
+            item for item in self.reports(now_s) if self._paced[item[0]].is_news(now_s)
+        ]
+        news.sort(key=lambda item: item[1].pace)
+        for incarnation, report in news[:limit]:
+            self._paced[incarnation].reported_pace = report.pace
+        return news[:limit]
+
+    def take_changes(self) -> list[PaceChange]:
+        """Take the changes since the last call."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    def keep_only(self, incarnations: Collection[Incarnation]) -> None:
+        """Remove all servers except the given incarnations."""
+        for removed in self._paced.keys() - incarnations:
+            del self._paced[removed]
+        self._units.keep_only({incarnation[0] for incarnation in incarnations})
+
+    def _get_paced(self, server: BackendServer, now_s: float) -> _Paced | None:
+        paced = self._paced.get(server.incarnation)
+        if paced is None and now_s < server.cold_until_s:
+            return self._begin(server, PaceCause.COLD, now_s)
+        return paced
+
+    def _begin(self, server: BackendServer, cause: PaceCause, now_s: float) -> _Paced:
+        paced = self._paced[server.incarnation] = _Paced(server, now_s)
+        self._add_change(paced, cause, now_s)
+        return paced
+
+    def _max_requests(self, paced: _Paced, now_s: float) -> int:
+        requests = paced.pace.max_requests(now_s)
+        return max(1, math.ceil(requests * self._heard_ratio))
+
+    def _note_change(
+        self, paced: _Paced, cause: PaceCause | None, now_s: float
+    ) -> None:
+        """Keep a change for the log if it allows another number of requests."""
+        is_change = paced.pace.max_requests(now_s) != paced.logged_requests
+        if cause is not None and is_change:
+            self._add_change(paced, cause, now_s)
+
+    def _add_change(self, paced: _Paced, cause: PaceCause, now_s: float) -> None:
+        pace = paced.pace
+        paced.logged_requests = pace.max_requests(now_s)
+        if len(self._changes) < _MAX_CHANGES:
+            self._changes.append(
+                PaceChange(
+                    paced.server.id,
+                    cause,
+                    round(pace.pace(now_s), 3),
+                    paced.logged_requests,
+                    pace.answered(now_s),
+                    round(now_s - pace.began_s, 3),
+                )
+            )
