Let servers that started or recovered take their load by a pace

Cause: after its cold time a server got its full share at once, and the pace was the same however it responded. Change: dispatch asks SlowStarts instead of ColdStartBudget, which is removed; entries exchange PaceObserved (p), ColdUnitRequested (u) and ColdUnitLent (n).

--- a/gentianhoist/dispatch/_buffered_relay.py
+++ b/gentianhoist/dispatch/_buffered_relay.py
@@ -23,6 +23,9 @@
 _RATE_LIMITED_LOAD = 0.5
 # Requests of this entry at one server while others pause, as a multiple of its slots.
 _MAX_CROWDING = 2
+# Expected time of a response as a fraction of the route's goal, for a server that has
+# started: within the goal it responds as expected.
+_EXPECTED_GOAL_RATIO = 0.5
 # Fraction of the time to its deadline that a request may wait for the rate limits.
 _MAX_WAIT_RATIO = 0.5
 # Interval at which the first request that waits looks for a server.
@@ -246,6 +249,12 @@
         now_s = self._context.clock.monotonic_s()
         health = self._state.server_health.get(server.incarnation)
         health.record_success(now_s)
+        if complete.response.status < _SERVER_ERROR:
+            self._context.slow_starts.record_response(
+                server, elapsed_s, _EXPECTED_GOAL_RATIO * self._request.route.goal_s
+            )
+        else:
+            self._context.slow_starts.record_refusal(server)
         self._has_response = True
         self._quarantine.report_completed(
             self._request.call.quarantine_keys,
--- a/gentianhoist/dispatch/_context.py
+++ b/gentianhoist/dispatch/_context.py
@@ -18,6 +18,7 @@
 from gentianhoist.quarantine import RequestQuarantine
 from gentianhoist.quotas import QuotaExchange
 from gentianhoist.ratelimits import RateLimitExchange
+from gentianhoist.slowstart import SlowStartExchange
 from gentianhoist.telemetry import DecisionLog, EntryMetrics
 
 __all__ = ["DispatchContext"]
@@ -63,6 +64,16 @@
         self.retry_quotas = QuotaExchange(
             state.retry_quota, peers, clock, log, state.rng
         )
+        self.slow_starts = SlowStartExchange(
+            state.slow_starts,
+            peers,
+            state.find_listed,
+            lambda: len(state.queue) > 0,
+            clock,
+            log,
+            metrics,
+            state.rng,
+        )
         self.shutdown = Shutdown(state.rng)
         self._background_tasks: set[asyncio.Task[None]] = set()
 
--- a/gentianhoist/dispatch/_engine_candidates.py
+++ b/gentianhoist/dispatch/_engine_candidates.py
@@ -107,15 +107,17 @@
     servers: Sequence[BackendServer],
     now_s: float,
 ) -> Callable[[BackendServer], float] | None:
-    """Return how much more engines weigh that fail, are limited or cold.
+    """Return how much more engines weigh that fail, are limited or start.
 
-    A cold engine that takes a request now weighs no more: it has no other work.
+    One that starts and takes a request now weighs no more: it has little other work.
     """
     limits = state.rate_limits
     suspects = state.server_health.suspects(now_s)
     has_limits = len(limits) > 0
-    has_cold = any(now_s < server.cold_until_s for server in servers)
-    if not (suspects or has_limits or has_cold):
+    has_slow_starts = len(state.slow_starts) > 0 or any(
+        now_s < server.cold_until_s for server in servers
+    )
+    if not (suspects or has_limits or has_slow_starts):
         return None
 
     def extra_requests(server: BackendServer) -> float:
--- a/gentianhoist/dispatch/_send_rules.py
+++ b/gentianhoist/dispatch/_send_rules.py
@@ -16,6 +16,7 @@
     "may_tell_rate_limit",
     "options_at_send",
     "progress_fields",
+    "shows_overload",
 ]
 
 # Weights of failures in the health of a server; any other failure weighs 1.
@@ -64,6 +65,16 @@
     return 1.0
 
 
+def shows_overload(failure: AttemptFailed) -> bool:
+    """Whether a failure is a sign that a server that started gets too much work.
+
+    One that wasn't sent, as this entry held it back, says nothing of the server.
+    """
+    if failure.wrong_server:
+        return False
+    return failure.execution is not Execution.UNSENT or failure.no_response
+
+
 def progress_fields(
     progress: StreamProgress | None, now_s: float
 ) -> dict[str, int | float]:
--- a/gentianhoist/dispatch/_sender.py
+++ b/gentianhoist/dispatch/_sender.py
@@ -25,6 +25,7 @@
     may_tell_rate_limit,
     options_at_send,
     progress_fields,
+    shows_overload,
 )
 from gentianhoist.exceptions import ErrorKind, HoistError
 from gentianhoist.fleet import BackendServer, ServerGroup
@@ -164,6 +165,7 @@
                 self._context.log.record(
                     "server_pause_over", request_id, server=server.id
                 )
+                self._context.slow_starts.begin(server)
         if may_tell_rate_limit(response):
             self._context.rate_limits.observe(
                 request_id, server, response.rate_limit, sent_s
@@ -201,6 +203,8 @@
             request.excluded_ids.add(faulty_server.id)
             health = self._state.server_health.get(faulty_server.incarnation)
             health.record_failure(now_s, failure_weight(failure))
+        if shows_overload(failure):
+            self._context.slow_starts.record_refusal(server)
         self._context.metrics.record_failed_send(failure.execution.name.lower())
         self._context.log.record(
             "send_failed",
@@ -362,7 +366,7 @@
             return "the server no longer accepts new requests"
         if not self._state.pauses.may_send(current, now_s):
             return "the server has asked for a pause"
-        if not self._state.is_within_cold_limit(current, self.group, now_s):
+        if not self._state.slow_starts.has_unit(current, self.group, now_s):
             return "the server is cold and has reached its request limit"
         return None
 
--- a/gentianhoist/dispatch/_state.py
+++ b/gentianhoist/dispatch/_state.py
@@ -16,7 +16,6 @@
 from gentianhoist.hashing import rendezvous_weight
 from gentianhoist.http1 import ConnectionPool, PoolLimits
 from gentianhoist.placement import (
-    ColdStartBudget,
     CommitmentLedger,
     ExpectedValue,
     PlacementQueue,
@@ -26,6 +25,7 @@
 )
 from gentianhoist.quotas import SharedQuota
 from gentianhoist.ratelimits import RateLimits, TurnQueue
+from gentianhoist.slowstart import ListedServer, SlowStarts
 
 __all__ = ["DispatchPolicy", "DispatchState"]
 
@@ -105,7 +105,7 @@
         ledger: Commitments of all entries on every engine.
         server_health: Health of the backend servers, from the results of requests.
         rng: Source of randomness.
-        cold_starts: Limits the requests to cold servers.
+        slow_starts: Limits the requests to servers that started or recovered.
         rate_limits: Rate limits that servers name.
         pauses: Pauses that servers name in refusals.
         queue: Prompts that wait for engines.
@@ -121,7 +121,9 @@
         self.ledger = CommitmentLedger()
         self.server_health = ServerHealthRegistry()
         self.rng = random.Random(seed)
-        self.cold_starts = ColdStartBudget(phase=self.rng.random())
+        self.slow_starts = SlowStarts(
+            host, policy.cold_rate_ratio, policy.min_entries, self.rng
+        )
         self.rate_limits = RateLimits(host, self.rng)
         self.pauses = ServerPauses(self.rng)
         self.queue = PlacementQueue(policy.queue_order)
@@ -153,6 +155,11 @@
         for quota in self._retry_quotas.values():
             quota.resize(self._retry_quota_capacity)
 
+    @property
+    def assumed_entries(self) -> int:
+        """Number of entries that limits are divided by."""
+        return self._assumed_entries
+
     @property
     def _retry_quota_capacity(self) -> float:
         return self.policy.retry_budget_capacity / self._assumed_entries
@@ -226,21 +233,33 @@
     def is_within_cold_limit(
         self, server: BackendServer, group: ServerGroup, now_s: float
     ) -> bool:
-        """Whether the rate limit of a cold start permits one more request to a server.
+        """Whether a server's slow start permits one more request to it.
 
-        Servers that are not in a cold start have no such limit.
+        Servers that have not started or recovered recently have no such limit.
         """
-        if not group.cold_requests_per_s or now_s >= server.cold_until_s:
+        if not group.cold_requests_per_s:
             return True
-        rate = group.cold_requests_per_s * self.policy.cold_rate_ratio
-        return self.cold_starts.can_send(server.id, rate, self._assumed_entries, now_s)
+        requests = self.outstanding.get(server.id, 0)
+        if group.engine is None:
+            # The ledger holds requests to engines only.
+            return self.slow_starts.may_start_locally(server, group, requests, now_s)
+        requests = max(requests, self.ledger.load(server.id).requests)
+        return self.slow_starts.may_start(server, group, requests, now_s)
+
+    def find_listed(self, server_id: str, now_s: float) -> ListedServer | None:
+        """Return a usable server with its group, None if either is unknown."""
+        server = self.directory.find_usable(server_id, now_s)
+        configuration = self.routing.current
+        if server is None or configuration is None:
+            return None
+        group = configuration.groups.get(server.group)
+        return None if group is None else ListedServer(server, group)
 
     def record_sent(self, server: BackendServer, now_s: float) -> None:
         """Record a request that is being sent to a server."""
         self.outstanding[server.id] = self.outstanding.get(server.id, 0) + 1
         self.pauses.record_sent(server, now_s)
-        if now_s < server.cold_until_s:
-            self.cold_starts.record_sent(server.id, now_s)
+        self.slow_starts.record_sent(server, now_s)
 
     def record_finished(self, server: BackendServer) -> None:
         """Record the end of a request that was sent to a server."""
@@ -257,7 +276,7 @@
         self.pauses.keep_only(incarnations)
         for removed_id in self._engine_order.keys() - self.directory.servers.keys():
             del self._engine_order[removed_id]
-        self.cold_starts.keep_only({server.id for server in present})
+        self.slow_starts.keep_only(incarnations)
         return present
 
     def close(self) -> None:
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -191,9 +191,9 @@
                 self._progress.record_events(len(events), self._loop.time())
                 if first:
                     first = False
-                    self._placer.record_first_event(
-                        reserved, self._loop.time() - sent_s
-                    )
+                    after_s = self._loop.time() - sent_s
+                    self._record_pace(reserved, after_s)
+                    self._placer.record_first_event(reserved, after_s)
                 await self._forward(events, response)
                 wait_deadline_s = self._stall_deadline_s()
         if reader.incomplete.strip():
@@ -212,6 +212,14 @@
         if self._responder.started:
             await self._responder.send_chunk(reader.incomplete)
 
+    def _record_pace(self, reserved: ReservedPlacement, after_s: float) -> None:
+        """Compare a first event with that of an engine that isn't slow."""
+        placement = reserved.placement
+        server = placement.decode_engine
+        health = self._state.server_health.get(server.incarnation)
+        expected_s = placement.expected_ttft_s / max(1.0, health.slowness)
+        self._context.slow_starts.record_response(server, after_s, expected_s)
+
     async def _next_chunk(self, attempt: Attempt, wait_deadline_s: float) -> bytes:
         while True:
             try:
--- a/gentianhoist/peers/_publishers.py
+++ b/gentianhoist/peers/_publishers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Sequence
-from typing import Protocol
+from typing import Any, Protocol
 
 from gentianhoist.placement import Commitment
 from gentianhoist.quarantine import EngineLoss, QuarantineRecord
@@ -51,6 +51,14 @@
         """Publish the use of a server with a rate limit to some entries."""
         ...
 
+    def broadcast(self, message: Any) -> None:
+        """Send a message of a registered type to all known entries."""
+        ...
+
+    def send(self, message: Any, hosts: Collection[str]) -> None:
+        """Send a message of a registered type to some entries."""
+        ...
+
     def publish_leaving(self, server: tuple[str, str, int]) -> None:
         """Publish that a server, given by its incarnation, is about to stop."""
         ...
@@ -147,6 +155,12 @@
     ) -> None:
         """Do nothing."""
 
+    def broadcast(self, message: Any) -> None:
+        """Do nothing."""
+
+    def send(self, message: Any, hosts: Collection[str]) -> None:
+        """Do nothing."""
+
     def publish_leaving(self, server: tuple[str, str, int]) -> None:
         """Do nothing."""
 
--- a/gentianhoist/placement/__init__.py
+++ b/gentianhoist/placement/__init__.py
@@ -5,7 +5,6 @@
     is_worth_waiting,
     suits_one_engine,
 )
-from gentianhoist.placement._cold_start import ColdStartBudget
 from gentianhoist.placement._ledger import (
     AffectedRequest,
     Commitment,
@@ -55,7 +54,6 @@
     "ONE_ENGINE",
     "STOP_REFUSAL",
     "UNAVAILABLE",
-    "ColdStartBudget",
     "Commitment",
     "CommitmentLedger",
     "AffectedRequest",
--- a/gentianhoist/slowstart/__init__.py
+++ b/gentianhoist/slowstart/__init__.py
@@ -1,5 +1,15 @@
 """Slow start of backend servers that started or recovered, over all entries."""
 
+from gentianhoist.slowstart._exchange import (
+    ListedServer,
+    SlowStartExchange,
+    SlowStartPublisher,
+)
+from gentianhoist.slowstart._messages import (
+    ColdUnitLent,
+    ColdUnitRequested,
+    PaceObserved,
+)
 from gentianhoist.slowstart._pace import (
     EVIDENCE_TTL_S,
     MAX_PACED_S,
@@ -23,12 +33,18 @@
     "LOAN_TTL_S",
     "MAX_PACED_S",
     "PROBE_REQUESTS",
+    "ColdUnitLent",
+    "ColdUnitRequested",
     "Incarnation",
+    "ListedServer",
     "PaceCause",
     "PaceChange",
+    "PaceObserved",
     "PaceReport",
     "ServerPace",
     "Share",
+    "SlowStartExchange",
+    "SlowStartPublisher",
     "SlowStarts",
     "StartUnits",
     "UnitLoan",
--- a/gentianhoist/slowstart/_pace.py
+++ b/gentianhoist/slowstart/_pace.py
@@ -68,6 +68,12 @@
     observed_s: float
 
 
+class _CachedPace(NamedTuple):
+    pace: float
+    from_s: float
+    until_s: float
+
+
 class ServerPace:
     """Pace of one incarnation of a server.
 
@@ -94,6 +100,8 @@
         self._own: PaceReport | None = None
         self._others: dict[str, PaceReport] = {}
         self._reduced_s = float("-inf")
+        # Read for each server that is weighed for a prompt.
+        self._cached: _CachedPace | None = None
 
     @property
     def began_s(self) -> float:
@@ -107,13 +115,10 @@
 
     def pace(self, now_s: float) -> float:
         """Fraction of the slots that may be in use now, over all entries."""
-        own = self.own_report(now_s)
-        paces = [item.pace for item in self._fresh(now_s)]
-        if not paces:
-            return self._initial
-        # Of an even number, the lower of the two in the middle.
-        median = sorted(paces)[(len(paces) - 1) // 2]
-        return median if own is None else min(own.pace, median)
+        cached = self._cached
+        if cached is None or not cached.from_s <= now_s < cached.until_s:
+            cached = self._cached = self._compute_pace(now_s)
+        return cached.pace
 
     def answered(self, now_s: float) -> int:
         """Responses as expected, over all entries with evidence."""
@@ -144,10 +149,10 @@
         pace = self.pace(now_s)
         answered = self._own.answered if self._own else 0
         if ratio > _ON_TIME_RATIO * allowance:
-            self._own = PaceReport(pace, answered, now_s)
+            self._set_own(PaceReport(pace, answered, now_s))
             return None
         pace = min(1.0, pace + max(_MIN_STEP, 1.0 / self._slots))
-        self._own = PaceReport(pace, answered + 1, now_s)
+        self._set_own(PaceReport(pace, answered + 1, now_s))
         return PaceCause.ON_TIME
 
     def record_refusal(self, now_s: float) -> PaceCause | None:
@@ -169,6 +174,7 @@
         if known is not None and known.observed_s > report.observed_s:
             return
         self._others[entry] = report
+        self._cached = None
         for other, item in list(self._others.items()):
             if not _is_fresh(item, now_s):
                 del self._others[other]
@@ -184,6 +190,23 @@
             return PaceCause.TIMED_OUT
         return None
 
+    def _compute_pace(self, now_s: float) -> _CachedPace:
+        reports = self._fresh(now_s)
+        if not reports:
+            return _CachedPace(self._initial, now_s, float("inf"))
+        paces = sorted(item.pace for item in reports)
+        # Of an even number, the lower of the two in the middle.
+        pace = paces[(len(paces) - 1) // 2]
+        own = self.own_report(now_s)
+        if own is not None:
+            pace = min(own.pace, pace)
+        until_s = min(item.observed_s for item in reports) + EVIDENCE_TTL_S
+        return _CachedPace(pace, now_s, until_s)
+
+    def _set_own(self, report: PaceReport) -> None:
+        self._own = report
+        self._cached = None
+
     def _reduce(
         self, factor: float, cause: PaceCause, now_s: float
     ) -> PaceCause | None:
@@ -191,7 +214,7 @@
             return None
         self._reduced_s = now_s
         pace = max(1.0 / self._slots, self.pace(now_s) * factor)
-        self._own = PaceReport(pace, 0, now_s)
+        self._set_own(PaceReport(pace, 0, now_s))
         return cause
 
     def _cold_left_ratio(self, now_s: float) -> float:
--- a/gentianhoist/slowstart/_units.py
+++ b/gentianhoist/slowstart/_units.py
@@ -16,7 +16,7 @@
 LOAN_TTL_S = 0.25
 # Drift of two clocks over a loan, and the time from the check to the send.
 _LOAN_MARGIN_S = 0.1
-_FIRST_NUMBER_BITS = 31
+_MAX_FIRST_NUMBER = 2**31
 
 
 class UnitRequest(NamedTuple):
@@ -96,7 +96,7 @@
         self._shares = shares
         self._windows: dict[str, _Window] = {}
         # A late loan to an earlier process of this entry must not match a request.
-        self._next_number = rng.getrandbits(_FIRST_NUMBER_BITS)
+        self._next_number = int(rng.random() * _MAX_FIRST_NUMBER)
         self._now_s = float("-inf")
 
     def can_use(self, server_id: str, requests_per_s: float, now_s: float) -> bool:
@@ -116,7 +116,10 @@
     def use(self, server_id: str, now_s: float) -> None:
         """Record a request that is being sent to a cold server."""
         # Not expired here: a loan that `can_use` counted on just before is used up.
-        window = self._windows.setdefault(server_id, _Window())
+        window = self._windows.get(server_id)
+        if window is None:
+            # `can_use` wasn't asked: the server has no limit.
+            return
         if window.borrowed_until_s:
             window.borrowed_until_s.remove(min(window.borrowed_until_s))
         else:
--- a/gentianhoist/slowstart/core.py
+++ b/gentianhoist/slowstart/core.py
@@ -10,7 +10,7 @@
 
 import math
 import random
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 from gentianhoist.fleet import BackendServer, ServerGroup
@@ -21,6 +21,7 @@
 __all__ = ["Incarnation", "PaceChange", "SlowStarts"]
 
 Incarnation = tuple[str, str, int]
+OnLacking = Callable[[BackendServer, ServerGroup, float], None]
 
 # Changes that are kept for the log until they are taken.
 _MAX_CHANGES = 1_000
@@ -91,6 +92,7 @@
         self._entries = assumed_entries
         self._paced: dict[Incarnation, _Paced] = {}
         self._changes: list[PaceChange] = []
+        self._on_lacking: OnLacking | None = None
 
     def __len__(self) -> int:
         return len(self._paced)
@@ -115,6 +117,10 @@
         """
         self._heard_ratio = min(1.0, max(0.0, ratio))
 
+    def set_on_lacking(self, on_lacking: OnLacking) -> None:
+        """Call a function when only a unit is missing for a request."""
+        self._on_lacking = on_lacking
+
     # Requests.
 
     def may_start(
@@ -134,7 +140,11 @@
             return True
         if requests >= self._max_requests(paced, now_s):
             return False
-        return self.has_unit(server, group, now_s)
+        if self.has_unit(server, group, now_s):
+            return True
+        if self._on_lacking is not None:
+            self._on_lacking(server, group, now_s)
+        return False
 
     def may_start_locally(
         self, server: BackendServer, group: ServerGroup, requests: int, now_s: float
--- a/gentianhoist/telemetry/_exposition.py
+++ b/gentianhoist/telemetry/_exposition.py
@@ -88,6 +88,24 @@
             ["position", "names_request"],
             registry=registry,
         )
+        self._slow_starts = Gauge(
+            "entry_slow_starts",
+            "Backend servers that started or recovered and are not at full pace yet.",
+            registry=registry,
+        )
+        self._pace_changes = Counter(
+            "entry_pace_changes",
+            "Changes of the pace of a server that started or recovered, by cause.",
+            ["cause"],
+            registry=registry,
+        )
+        self._cold_units = Counter(
+            "entry_cold_units",
+            "Units of cold servers, requested from other entries, borrowed from them, "
+            "lent to them, or received too late.",
+            ["event"],
+            registry=registry,
+        )
         self._dropped_lines = Gauge(
             "entry_log_lines_dropped", "Log lines dropped.", registry=registry
         )
@@ -138,6 +156,18 @@
         """Count a refusal in which a backend server named a pause."""
         self._server_pauses.inc()
 
+    def record_pace_change(self, cause: str) -> None:
+        """Count a change of the pace of a server that started or recovered."""
+        self._pace_changes.labels(cause).inc()
+
+    def record_cold_unit(self, event: str) -> None:
+        """Count a unit of a cold server that was requested, lent or received."""
+        self._cold_units.labels(event).inc()
+
+    def set_slow_starts(self, count: int) -> None:
+        """Set the number of servers that are not at full pace yet."""
+        self._slow_starts.set(count)
+
     def set_held(self, *, segments: int, requests: int) -> None:
         """Set the numbers of prompt segments and requests that are held or tried."""
         self._held_segments.set(segments)
