--- a/gentianhoist/dispatch/_buffered_relay.py
+++ b/gentianhoist/dispatch/_buffered_relay.py
@@ -21,6 +21,9 @@
 # Load that a server with a rate limit is charged with, as a fraction of its slots, so
 # that servers without one come first.
 _RATE_LIMITED_LOAD = 0.5
+# The same for a server that started or recovered and has as many requests as its pace
+# allows. It isn't left out, since requests without streaming don't wait for servers.
+_PACED_LOAD = 2.0
 # Requests of this entry at one server while others pause, as a multiple of its slots.
 _MAX_CROWDING = 2
 # Expected time of a response as a fraction of the route's goal, for a server that has
@@ -104,7 +107,7 @@
         ranked = [
             (self._cost(server, now_s), self._state.rng.random(), server)
             for server in self.candidates()
-            if self._state.is_within_cold_limit(server, group, now_s)
+            if self._state.slow_starts.has_unit(server, group, now_s)
             and self._has_room(server)
             and (
                 limits.can_send(server, now_s)
@@ -194,9 +197,12 @@
 
     def _cost(self, server: BackendServer, now_s: float) -> float:
         health = self._state.server_health.get(server.incarnation)
-        load = (self._state.outstanding.get(server.id, 0) + 1) / max(1, server.slots)
+        outstanding = self._state.outstanding.get(server.id, 0)
+        load = (outstanding + 1) / max(1, server.slots)
         if self._state.rate_limits.limit_per_s(server) is not None:
             load += _RATE_LIMITED_LOAD
+        if self._state.slow_starts.is_at_pace(server, self.group, outstanding, now_s):
+            load += _PACED_LOAD
         return load * health.slowness + health.penalty(now_s)
 
     async def _send_and_read(self, chosen: _Chosen) -> _CompleteResponse:
--- a/gentianhoist/dispatch/_state.py
+++ b/gentianhoist/dispatch/_state.py
@@ -233,17 +233,11 @@
     def is_within_cold_limit(
         self, server: BackendServer, group: ServerGroup, now_s: float
     ) -> bool:
-        """Whether a server's slow start permits one more request to it.
+        """Whether an engine's slow start permits one more prompt on it.
 
-        Servers that have not started or recovered recently have no such limit.
+        Engines that have not started or recovered recently have no such limit.
         """
-        if not group.cold_requests_per_s:
-            return True
-        requests = self.outstanding.get(server.id, 0)
-        if group.engine is None:
-            # The ledger holds requests to engines only.
-            return self.slow_starts.may_start_locally(server, group, requests, now_s)
-        requests = max(requests, self.ledger.load(server.id).requests)
+        requests = self.ledger.load(server.id).requests
         return self.slow_starts.may_start(server, group, requests, now_s)
 
     def find_listed(self, server_id: str, now_s: float) -> ListedServer | None:
--- a/gentianhoist/slowstart/core.py
+++ b/gentianhoist/slowstart/core.py
@@ -23,6 +23,12 @@
 Incarnation = tuple[str, str, int]
 OnLacking = Callable[[BackendServer, ServerGroup, float], None]
 
+# Longest time that an entry waits before it takes a free slot of a server that starts:
+# some times of the propagation of a message. All entries see the same slot as free.
+_MAX_TURN_WAIT_S = 0.06
+# A turn that wasn't used for so long is drawn anew. Otherwise all entries would have
+# one when a burst meets a server that was free for a while.
+_TURN_TTL_S = 0.25
 # Changes that are kept for the log until they are taken.
 _MAX_CHANGES = 1_000
 # Change of the pace in slots from which on the other entries are told.
@@ -57,6 +63,8 @@
         self.pace = ServerPace(server.slots, server.cold_until_s, now_s)
         self.logged_requests = self.pace.max_requests(now_s)
         self.reported_pace: float | None = None
+        # When this entry may take a free slot, None while none is free.
+        self.turn_s: float | None = None
 
     def is_news(self, now_s: float) -> bool:
         """Whether the other entries don't know what this one found."""
@@ -86,6 +94,7 @@
         self, host: str, rate_ratio: float, assumed_entries: int, rng: random.Random
     ) -> None:
         self._rate_ratio = rate_ratio
+        self._rng = rng
         self._shares = UnitShares(host, assumed_entries)
         self._units = StartUnits(self._shares, rng)
         self._heard_ratio = 1.0
@@ -139,6 +148,9 @@
         if paced is None:
             return True
         if requests >= self._max_requests(paced, now_s):
+            paced.turn_s = None
+            return False
+        if not self._is_turn(paced, now_s):
             return False
         if self.has_unit(server, group, now_s):
             return True
@@ -146,17 +158,24 @@
             self._on_lacking(server, group, now_s)
         return False
 
-    def may_start_locally(
+    def is_at_pace(
         self, server: BackendServer, group: ServerGroup, requests: int, now_s: float
     ) -> bool:
-        """The same for a server whose requests from other entries aren't known.
+        """Whether this entry has its part of what the pace of a server allows.
+
+        For servers whose requests from other entries aren't known.
 
         Args:
             server: The server.
             group: Its server group.
             requests: Concurrent requests on it, of this entry only.
         """
-        return self.may_start(server, group, requests * self._entries, now_s)
+        if not group.cold_requests_per_s:
+            return False
+        paced = self._get_paced(server, now_s)
+        if paced is None:
+            return False
+        return requests * self._entries >= self._max_requests(paced, now_s)
 
     def has_unit(self, server: BackendServer, group: ServerGroup, now_s: float) -> bool:
         """Whether the hard bound allows one more request to a server."""
@@ -173,6 +192,9 @@
 
     def record_sent(self, server: BackendServer, now_s: float) -> None:
         """Record a request that is being sent to a server."""
+        paced = self._paced.get(server.incarnation)
+        if paced is not None:
+            paced.turn_s = None
         if now_s < server.cold_until_s:
             self._units.use(server.id, now_s)
 
@@ -306,6 +328,28 @@
         self._add_change(paced, cause, now_s)
         return paced
 
+    def _is_turn(self, paced: _Paced, now_s: float) -> bool:
+        """Whether this entry may take a slot that all entries see as free.
+
+        Each of them waits for a random time first, in which it may hear that another
+        one has taken the slot. Of all entries, one on average doesn't wait.
+        """
+        turn_s = paced.turn_s
+        if turn_s is None or not -_MAX_TURN_WAIT_S <= now_s - turn_s < _TURN_TTL_S:
+            paced.turn_s = turn_s = now_s + self._draw_turn_wait_s()
+        return now_s >= turn_s
+
+    def _draw_turn_wait_s(self) -> float:
+        """Draw a time with a truncated exponential distribution.
+
+        So the expected number of entries that act before they hear of the first one
+        hardly grows with their number.
+        """
+        if self._entries < 2:
+            return 0.0
+        drawn = 1.0 + math.log(1.0 - self._rng.random()) / math.log(self._entries)
+        return _MAX_TURN_WAIT_S * max(0.0, drawn)
+
     def _max_requests(self, paced: _Paced, now_s: float) -> int:
         requests = paced.pace.max_requests(now_s)
         return max(1, math.ceil(requests * self._heard_ratio))
