--- a/gentianhoist/slowstart/_exchange.py
+++ b/gentianhoist/slowstart/_exchange.py
@@ -100,8 +100,7 @@
                 PaceObserved,
                 self._receive_pace,
                 self._pace_messages,
-                self._pace_messages,
-                check_pace,
+                check=check_pace,
             ),
             MessageKind(ColdUnitRequested, self._receive_request, check=check_unit),
             MessageKind(ColdUnitLent, self._receive_loan, check=check_unit),
@@ -165,7 +164,7 @@
 
     # Messages of other entries.
 
-    def _pace_messages(self, host: str = "") -> list[PaceObserved]:
+    def _pace_messages(self, host: str) -> list[PaceObserved]:
         now_s = self._clock.monotonic_s()
         return [
             PaceObserved.of(server, report, now_s)
--- a/gentianhoist/slowstart/_messages.py
+++ b/gentianhoist/slowstart/_messages.py
@@ -41,7 +41,7 @@
     ) -> PaceObserved:
         """Create the message for a report, at a time on the sender's clock."""
         age_ms = max(0, round((now_s - report.observed_s) * _MS_PER_S))
-        return cls(server, round(report.pace, 3), report.answered, age_ms)
+        return cls(server, round(report.pace, 4), report.answered, age_ms)
 
     def report(self, now_s: float) -> PaceReport:
         """Create the report, with its time on the receiver's clock."""
--- a/gentianhoist/slowstart/_pace.py
+++ b/gentianhoist/slowstart/_pace.py
@@ -33,6 +33,8 @@
 _MIN_STEP = 0.05
 # Several requests that were sent together fail together and are one sign of overload.
 _MIN_REDUCTION_INTERVAL_S = 0.25
+# Reports carry four digits of the pace. Five sixths of six slots must remain five.
+_SLOT_TOLERANCE = 0.05
 # Responses as expected, over all entries, that end the slow start at the full pace.
 _END_RESPONSES = 8
 # A slow start without a sign of overload ends after this time, counted from the end of
@@ -126,8 +128,7 @@
 
     def max_requests(self, now_s: float) -> int:
         """Number of concurrent requests that the pace allows, over all entries."""
-        # The tolerance keeps a third of six slots at two.
-        return max(1, int(self.pace(now_s) * self._slots + 1e-6))
+        return max(1, int(self.pace(now_s) * self._slots + _SLOT_TOLERANCE))
 
     def record_response(
         self, after_s: float, expected_s: float, now_s: float
--- a/gentianhoist/slowstart/core.py
+++ b/gentianhoist/slowstart/core.py
@@ -33,6 +33,8 @@
 _MAX_CHANGES = 1_000
 # Change of the pace in slots from which on the other entries are told.
 _MIN_REPORTED_SLOTS = 0.5
+# Evidence that is still valid is repeated after this time, as datagrams are lost.
+_REPORT_REPEAT_S = 0.75
 
 
 class PaceChange(NamedTuple):
@@ -62,7 +64,8 @@
         self.server = server
         self.pace = ServerPace(server.slots, server.cold_until_s, now_s)
         self.logged_requests = self.pace.max_requests(now_s)
-        self.reported_pace: float | None = None
+        self.reported_pace = self.pace.pace(now_s)
+        self.reported_s = float("-inf")
         # When this entry may take a free slot, None while none is free.
         self.turn_s: float | None = None
 
@@ -71,11 +74,15 @@
         own = self.pace.own_report(now_s)
         if own is None:
             return False
-        if self.reported_pace is None:
+        if not 0.0 <= now_s - self.reported_s < _REPORT_REPEAT_S:
             return True
         change = abs(own.pace - self.reported_pace) * max(1, self.server.slots)
         return change >= _MIN_REPORTED_SLOTS
 
+    def rank_news(self, report: PaceReport) -> tuple[bool, float]:
+        """Order in which reports are sent: falls of the pace first, then the oldest."""
+        return report.pace >= self.reported_pace, self.reported_s
+
 
 class SlowStarts:
     """Aggregate of the slow starts of all servers, as one entry sees them.
@@ -293,7 +300,7 @@
     def take_news(
         self, limit: int, now_s: float
     ) -> list[tuple[Incarnation, PaceReport]]:
-        """Take some of the reports that the other entries lack, the lowest paces first.
+        """Take some of the reports that the other entries lack, the most urgent first.
 
         Args:
             limit: Maximum number of reports.
@@ -301,9 +308,11 @@
         news = [
             item for item in self.reports(now_s) if self._paced[item[0]].is_news(now_s)
         ]
-        news.sort(key=lambda item: item[1].pace)
+        news.sort(key=lambda item: self._paced[item[0]].rank_news(item[1]))
         for incarnation, report in news[:limit]:
-            self._paced[incarnation].reported_pace = report.pace
+            paced = self._paced[incarnation]
+            paced.reported_pace = report.pace
+            paced.reported_s = now_s
         return news[:limit]
 
     def take_changes(self) -> list[PaceChange]:
