--- a/gentianhoist/dispatch/_sender.py
+++ b/gentianhoist/dispatch/_sender.py
@@ -165,7 +165,7 @@
                 self._context.log.record(
                     "server_pause_over", request_id, server=server.id
                 )
-                self._context.slow_starts.begin(server)
+                self._context.slow_starts.begin(server, now_s)
         if may_tell_rate_limit(response):
             self._context.rate_limits.observe(
                 request_id, server, response.rate_limit, sent_s
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -10,6 +10,7 @@
 import os
 import secrets
 import socket
+from collections.abc import Iterable
 
 from gentianhoist.clocks import Clock, SystemClock
 from gentianhoist.dispatch import (
@@ -141,7 +142,7 @@
         for follower in self._followers:
             self._table_exchange.publish(follower.name, follower.copy)
         self._registry = EntryRegistry(
-            adapter.entry_rows, settings.host, self._peers.set_peers, log
+            adapter.entry_rows, settings.host, self._take_entries, log
         )
 
     @property
@@ -394,11 +395,7 @@
             )
             self._state.set_entry_count(known)
             self._update_rate_limits()
-            self._dispatch.slow_starts.tick(
-                self._peers.peers,
-                self._state.assumed_entries,
-                1 + self._peers.live_count,
-            )
+            self._update_slow_starts()
             self._metrics.set_gauges(
                 self._state.routing.version,
                 len(self._state.directory.servers),
@@ -406,6 +403,19 @@
                 len(self._state.rate_limits),
             )
 
+    def _take_entries(self, hosts: Iterable[str]) -> None:
+        """Take the registered entries; parts of limits shrink at once."""
+        self._peers.set_peers(hosts)
+        self._state.set_entry_count(1 + len(self._peers.peers))
+        self._update_slow_starts()
+
+    def _update_slow_starts(self) -> None:
+        self._dispatch.slow_starts.tick(
+            self._peers.peers,
+            self._state.assumed_entries,
+            1 + self._peers.live_count,
+        )
+
     def _update_rate_limits(self) -> None:
         """Tell the rate limits which entries there are."""
         peers = self._peers
--- a/gentianhoist/slowstart/_exchange.py
+++ b/gentianhoist/slowstart/_exchange.py
@@ -108,12 +108,15 @@
 
     # Evidence of this entry.
 
-    def begin(self, server: BackendServer) -> None:
+    def begin(self, server: BackendServer, now_s: float) -> None:
         """Begin a slow start of a server that recovered after an ejection or a pause.
 
         It has no effect on a server whose group has no cold-start rate.
+
+        Args:
+            server: The server.
+            now_s: Current time on the entry's clock, in seconds.
         """
-        now_s = self._clock.monotonic_s()
         listed = self._find_server(server.id, now_s)
         if listed is not None and listed.group.cold_requests_per_s:
             self._starts.begin(listed.server, now_s)
--- a/gentianhoist/slowstart/_shares.py
+++ b/gentianhoist/slowstart/_shares.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from typing import NamedTuple
 
 from gentianhoist.hashing import rendezvous_weight
@@ -31,6 +31,20 @@
     hold_s: float
 
 
+class _Division(NamedTuple):
+    """How the rate of one server is divided.
+
+    Attributes:
+        requests_per_s: The rate.
+        share: The part of this entry.
+        holders: Entries that have a unit.
+    """
+
+    requests_per_s: float
+    share: Share
+    holders: Sequence[str]
+
+
 class _Membership:
     """Entries that are known at a time, and the shares that follow from them."""
 
@@ -39,31 +53,26 @@
         self._host = host
         self._hosts = hosts
         self._assumed = max(assumed, len(hosts))
-        self._shares: dict[str, tuple[float, Share]] = {}
+        self._divisions: dict[str, _Division] = {}
 
-    def share(self, server_id: str, requests_per_s: float) -> Share:
-        cached = self._shares.get(server_id)
-        if cached is None or cached[0] != requests_per_s:
-            cached = requests_per_s, self._compute(server_id, requests_per_s)
-            self._shares[server_id] = cached
-        return cached[1]
-
-    def holders(self, server_id: str, requests_per_s: float) -> list[str]:
-        """Entries that have a unit of a server, those with the most units first."""
-        total, _ = self._total(requests_per_s)
-        return self._ranked(server_id)[:total]
+    def division(self, server_id: str, requests_per_s: float) -> _Division:
+        """Return how the rate of a server is divided; computed once."""
+        division = self._divisions.get(server_id)
+        if division is None or division.requests_per_s != requests_per_s:
+            division = self._divide(server_id, requests_per_s)
+            self._divisions[server_id] = division
+        return division
 
-    def forget(self, server_ids: Collection[str]) -> None:
-        for removed in self._shares.keys() - server_ids:
-            del self._shares[removed]
+    def forget_others(self, server_ids: Collection[str]) -> None:
+        for removed in self._divisions.keys() - server_ids:
+            del self._divisions[removed]
 
-    def _compute(self, server_id: str, requests_per_s: float) -> Share:
+    def _divide(self, server_id: str, requests_per_s: float) -> _Division:
         total, hold_s = self._total(requests_per_s)
         base, remainder = divmod(total, len(self._hosts))
-        if not remainder:
-            return Share(base, hold_s)
-        rank = self._ranked(server_id).index(self._host)
-        return Share(base + (rank < remainder), hold_s)
+        ranked = self._ranked(server_id)
+        units = base + (self._host in ranked[:remainder])
+        return _Division(requests_per_s, Share(units, hold_s), ranked[:total])
 
     def _total(self, requests_per_s: float) -> tuple[int, float]:
         """Units of all known entries, and the seconds that each use takes up.
@@ -132,19 +141,19 @@
         """
         while self._past and self._past[0][0] <= now_s - GROWTH_DELAY_S:
             self._past.popleft()
-        share = self._current.share(server_id, requests_per_s)
+        share = self._current.division(server_id, requests_per_s).share
         for _, membership in self._past:
-            past = membership.share(server_id, requests_per_s)
+            past = membership.division(server_id, requests_per_s).share
             share = Share(min(share.units, past.units), max(share.hold_s, past.hold_s))
         return share
 
     def holders(self, server_id: str, requests_per_s: float) -> list[str]:
         """Return the other entries that have a unit of a server."""
-        holders = self._current.holders(server_id, requests_per_s)
+        holders = self._current.division(server_id, requests_per_s).holders
         return [host for host in holders if host != self._host]
 
     def keep_only(self, server_ids: Collection[str]) -> None:
         """Remove all servers except the given ones."""
-        self._current.forget(server_ids)
+        self._current.forget_others(server_ids)
         for _, membership in self._past:
-            membership.forget(server_ids)
+            membership.forget_others(server_ids)
--- a/tests/slowstart/test_exchange.py
+++ b/tests/slowstart/test_exchange.py
@@ -149,7 +149,7 @@
         for cold_per_s, count in ((20.0, 1), (0.0, 0)):
             fleet = Fleet(loop, 1, cold_per_s=cold_per_s)
             server = fleet.start_engine()
-            self._exchange(fleet, 0).begin(server)
+            self._exchange(fleet, 0).begin(server, loop.time())
             assert len(self._starts(fleet, 0)) == count
 
     def test_count_and_log_what_they_change(self, loop):
@@ -161,7 +161,7 @@
             fields,
         ))
         server = fleet.start_engine()
-        exchange.begin(server)
+        exchange.begin(server, loop.time())
         exchange.record_refusal(server)
         assert [(name, item["cause"]) for name, item in lines] == [
             ("pace_changed", "recovered"),
