--- a/gentianhoist/slowstart/_exchange.py
+++ b/gentianhoist/slowstart/_exchange.py
@@ -177,6 +177,10 @@
     def _receive_pace(
         self, message: PaceObserved, sender: Sender, now_s: float
     ) -> None:
+        listed = self._find_server(message.server[0], now_s)
+        if listed is not None:
+            # Its first request goes by what the others found before.
+            self._starts.begin_if_cold(*listed, now_s)
         report = message.report(now_s)
         self._starts.receive(message.server, sender.incarnation, report, now_s)
         self._log_changes()
--- a/gentianhoist/slowstart/_pace.py
+++ b/gentianhoist/slowstart/_pace.py
@@ -82,8 +82,8 @@
     It rises by a slot with each response in the expected time, and falls by a factor
     with refusals and slow responses. What other entries found is taken into account by
     the median: a single entry with a bad link, or that reports falsely, can neither
-    stop the server nor flood it. This entry's own evidence binds it in any case, if it
-    is lower.
+    stop the server nor flood it. A sign of overload that this entry saw itself binds it
+    in any case.
 
     Every `now_s` is the current time on the entry's clock, in seconds.
 
@@ -199,7 +199,8 @@
         # Of an even number, the lower of the two in the middle.
         pace = paces[(len(paces) - 1) // 2]
         own = self.own_report(now_s)
-        if own is not None:
+        if own is not None and not own.answered:
+            # The last thing that this entry saw was a sign of overload.
             pace = min(own.pace, pace)
         until_s = min(item.observed_s for item in reports) + EVIDENCE_TTL_S
         return _CachedPace(pace, now_s, until_s)
--- a/gentianhoist/slowstart/core.py
+++ b/gentianhoist/slowstart/core.py
@@ -207,6 +207,13 @@
 
     # Evidence.
 
+    def begin_if_cold(
+        self, server: BackendServer, group: ServerGroup, now_s: float
+    ) -> None:
+        """Begin the slow start of a server that this entry has no request for yet."""
+        if group.cold_requests_per_s:
+            self._get_paced(server, now_s)
+
     def begin(self, server: BackendServer, now_s: float) -> None:
         """Begin a slow start of a server that recovered, or begin it anew."""
         self._begin(server, PaceCause.RECOVERED, now_s)
--- a/tests/slowstart/test_pace.py
+++ b/tests/slowstart/test_pace.py
@@ -119,6 +119,14 @@
             pace.receive(f"e{number}", PaceReport(1.0, 9, 1.0), 1.0)
         assert pace.max_requests(1.0) == 1
 
+    def test_lets_an_entry_rise_beyond_what_it_saw_itself(self):
+        """An entry with few requests must not stay at its last response."""
+        pace = _pace()
+        _answer(pace, 1, 1.0)
+        for number in range(4):
+            pace.receive(f"e{number}", PaceReport(1.0, 9, 1.1), 1.1)
+        assert pace.max_requests(1.1) == SLOTS
+
     def test_of_two_entries_counts_by_the_lower_one(self):
         pace = _pace()
         pace.receive("a", PaceReport(1.0, 9, 1.0), 1.0)
