--- a/gentianhoist/slowstart/core.py
+++ b/gentianhoist/slowstart/core.py
@@ -68,6 +68,13 @@
         self.reported_s = float("-inf")
         # When this entry may take a free slot, None while none is free.
         self.turn_s: float | None = None
+        self.seen_requests = 0
+
+    def see_requests(self, requests: int) -> None:
+        """End the turn if a request was placed, by this entry or by another one."""
+        if requests > self.seen_requests:
+            self.turn_s = None
+        self.seen_requests = requests
 
     def is_news(self, now_s: float) -> bool:
         """Whether the other entries don't know what this one found."""
@@ -154,6 +161,7 @@
         paced = self._get_paced(server, now_s)
         if paced is None:
             return True
+        paced.see_requests(requests)
         if requests >= self._max_requests(paced, now_s):
             paced.turn_s = None
             return False
--- a/tests/slowstart/test_core.py
+++ b/tests/slowstart/test_core.py
@@ -118,6 +118,20 @@
     assert any(starts.may_start(WARM, GROUP, 0, at_s / 100) for at_s in range(8))
 
 
+def test_a_turn_is_for_one_request():
+    """Prompts that wait together are placed before the first of them is sent."""
+    starts = _starts(hosts=100)
+    server = WARM._replace(slots=64)
+    starts.begin(server, 0.0)
+    for _ in range(30):
+        starts.record_response(server, 0.1, 0.1, 0.0)
+    placed = 0
+    for at_s in range(8):
+        while starts.may_start(server, GROUP, placed, at_s / 100):
+            placed += 1
+    assert 1 <= placed <= 4
+
+
 def test_requests_without_streaming_prefer_other_servers():
     """They don't wait, so the pace must not leave them without any server."""
     starts = _starts()
