--- a/gentianhoist/slowstart/_pace.py
+++ b/gentianhoist/slowstart/_pace.py
@@ -25,8 +25,9 @@
 _SLOW_RATIO = 4.0
 # Part of the time to the first event that doesn't come from the server's load.
 _RESPONSE_MARGIN_S = 0.05
-# The ratio says nothing where almost no time is expected.
-_MIN_EXPECTED_S = 0.02
+# The ratio says nothing where almost no time is expected: an entry with a fourth of a
+# core is late by more than that itself.
+_MIN_EXPECTED_S = 0.05
 _REFUSAL_FACTOR = 0.5
 _SLOW_FACTOR = 0.7
 # Smallest step by which the pace rises with a response, for servers with many slots.
@@ -72,6 +73,7 @@
 
 class _CachedPace(NamedTuple):
     pace: float
+    max_requests: int
     from_s: float
     until_s: float
 
@@ -117,10 +119,7 @@
 
     def pace(self, now_s: float) -> float:
         """Fraction of the slots that may be in use now, over all entries."""
-        cached = self._cached
-        if cached is None or not cached.from_s <= now_s < cached.until_s:
-            cached = self._cached = self._compute_pace(now_s)
-        return cached.pace
+        return self._current(now_s).pace
 
     def answered(self, now_s: float) -> int:
         """Responses as expected, over all entries with evidence."""
@@ -128,7 +127,7 @@
 
     def max_requests(self, now_s: float) -> int:
         """Number of concurrent requests that the pace allows, over all entries."""
-        return max(1, int(self.pace(now_s) * self._slots + _SLOT_TOLERANCE))
+        return self._current(now_s).max_requests
 
     def record_response(
         self, after_s: float, expected_s: float, now_s: float
@@ -146,7 +145,9 @@
         # A cold server is slower than a warm one without being overloaded.
         allowance = 1.0 + self._cold_left_ratio(now_s)
         if ratio > _SLOW_RATIO * allowance:
-            return self._reduce(_SLOW_FACTOR, PaceCause.SLOW, now_s)
+            # Only refusals show that the server can't take two requests.
+            lowest = min(self._initial, self.pace(now_s))
+            return self._reduce(_SLOW_FACTOR, lowest, PaceCause.SLOW, now_s)
         pace = self.pace(now_s)
         answered = self._own.answered if self._own else 0
         if ratio > _ON_TIME_RATIO * allowance:
@@ -162,7 +163,8 @@
         Returns:
             Why the pace changed, or None if it was reduced just before.
         """
-        return self._reduce(_REFUSAL_FACTOR, PaceCause.REFUSED, now_s)
+        lowest = 1.0 / self._slots
+        return self._reduce(_REFUSAL_FACTOR, lowest, PaceCause.REFUSED, now_s)
 
     def receive(self, entry: str, report: PaceReport, now_s: float) -> None:
         """Take what another entry found.
@@ -191,10 +193,16 @@
             return PaceCause.TIMED_OUT
         return None
 
+    def _current(self, now_s: float) -> _CachedPace:
+        cached = self._cached
+        if cached is None or not cached.from_s <= now_s < cached.until_s:
+            cached = self._cached = self._compute_pace(now_s)
+        return cached
+
     def _compute_pace(self, now_s: float) -> _CachedPace:
         reports = self._fresh(now_s)
         if not reports:
-            return _CachedPace(self._initial, now_s, float("inf"))
+            return self._cache(self._initial, now_s, float("inf"))
         paces = sorted(item.pace for item in reports)
         # Of an even number, the lower of the two in the middle.
         pace = paces[(len(paces) - 1) // 2]
@@ -203,19 +211,23 @@
             # The last thing that this entry saw was a sign of overload.
             pace = min(own.pace, pace)
         until_s = min(item.observed_s for item in reports) + EVIDENCE_TTL_S
-        return _CachedPace(pace, now_s, until_s)
+        return self._cache(pace, now_s, until_s)
+
+    def _cache(self, pace: float, now_s: float, until_s: float) -> _CachedPace:
+        max_requests = max(1, int(pace * self._slots + _SLOT_TOLERANCE))
+        return _CachedPace(pace, max_requests, now_s, until_s)
 
     def _set_own(self, report: PaceReport) -> None:
         self._own = report
         self._cached = None
 
     def _reduce(
-        self, factor: float, cause: PaceCause, now_s: float
+        self, factor: float, lowest: float, cause: PaceCause, now_s: float
     ) -> PaceCause | None:
         if 0.0 <= now_s - self._reduced_s < _MIN_REDUCTION_INTERVAL_S:
             return None
         self._reduced_s = now_s
-        pace = max(1.0 / self._slots, self.pace(now_s) * factor)
+        pace = max(lowest, self.pace(now_s) * factor)
         self._set_own(PaceReport(pace, 0, now_s))
         return cause
 
--- a/gentianhoist/slowstart/_units.py
+++ b/gentianhoist/slowstart/_units.py
@@ -64,10 +64,12 @@
     asked_s: float = float("-inf")
 
     def expire(self, now_s: float) -> None:
-        self.held_until_s = [end_s for end_s in self.held_until_s if end_s > now_s]
-        self.borrowed_until_s = [
-            end_s for end_s in self.borrowed_until_s if end_s > now_s
-        ]
+        if self.held_until_s:
+            self.held_until_s = [end_s for end_s in self.held_until_s if end_s > now_s]
+        if self.borrowed_until_s:
+            self.borrowed_until_s = [
+                end_s for end_s in self.borrowed_until_s if end_s > now_s
+            ]
 
     def limit_holds(self, latest_s: float) -> None:
         """Keep the bound after a step back of the clock, without holding for long."""
--- a/gentianhoist/slowstart/core.py
+++ b/gentianhoist/slowstart/core.py
@@ -62,6 +62,7 @@
 
     def __init__(self, server: BackendServer, now_s: float) -> None:
         self.server = server
+        self.incarnation = server.incarnation
         self.pace = ServerPace(server.slots, server.cold_until_s, now_s)
         self.logged_requests = self.pace.max_requests(now_s)
         self.reported_pace = self.pace.pace(now_s)
@@ -113,7 +114,8 @@
         self._units = StartUnits(self._shares, rng)
         self._heard_ratio = 1.0
         self._entries = assumed_entries
-        self._paced: dict[Incarnation, _Paced] = {}
+        # By identifiers, as incarnations are slow to compare for each prompt.
+        self._paced: dict[str, _Paced] = {}
         self._changes: list[PaceChange] = []
         self._on_lacking: OnLacking | None = None
 
@@ -207,7 +209,7 @@
 
     def record_sent(self, server: BackendServer, now_s: float) -> None:
         """Record a request that is being sent to a server."""
-        paced = self._paced.get(server.incarnation)
+        paced = self._find(server)
         if paced is not None:
             paced.turn_s = None
         if now_s < server.cold_until_s:
@@ -236,14 +238,14 @@
             after_s: Seconds from the send to the first event.
             expected_s: Seconds that a healthy server would have taken.
         """
-        paced = self._paced.get(server.incarnation)
+        paced = self._find(server)
         if paced is not None:
             cause = paced.pace.record_response(after_s, expected_s, now_s)
             self._note_change(paced, cause, now_s)
 
     def record_refusal(self, server: BackendServer, now_s: float) -> None:
         """Record a refusal, or a request that was lost without a response."""
-        paced = self._paced.get(server.incarnation)
+        paced = self._find(server)
         if paced is not None:
             cause = paced.pace.record_refusal(now_s)
             self._note_change(paced, cause, now_s)
@@ -258,8 +260,8 @@
             entry: Incarnation of the entry.
             report: Its report, with its time on this entry's clock.
         """
-        paced = self._paced.get(incarnation)
-        if paced is not None:
+        paced = self._paced.get(incarnation[0])
+        if paced is not None and paced.incarnation == incarnation:
             paced.pace.receive(entry, report, now_s)
             self._note_change(paced, PaceCause.EVIDENCE, now_s)
 
@@ -295,11 +297,11 @@
 
     def expire(self, now_s: float) -> None:
         """End the slow starts that are over."""
-        for incarnation, paced in list(self._paced.items()):
+        for server_id, paced in list(self._paced.items()):
             cause = paced.pace.end_cause(now_s)
             if cause is not None:
                 self._add_change(paced, cause, now_s)
-                del self._paced[incarnation]
+                del self._paced[server_id]
             else:
                 # Evidence that has expired changes the pace as well.
                 self._note_change(paced, PaceCause.EVIDENCE, now_s)
@@ -307,8 +309,8 @@
     def reports(self, now_s: float) -> list[tuple[Incarnation, PaceReport]]:
         """What this entry found and is still valid."""
         return [
-            (incarnation, report)
-            for incarnation, paced in self._paced.items()
+            (paced.incarnation, report)
+            for paced in self._paced.values()
             if (report := paced.pace.own_report(now_s)) is not None
         ]
 
@@ -321,14 +323,15 @@
             limit: Maximum number of reports.
         """
         news = [
-            item for item in self.reports(now_s) if self._paced[item[0]].is_news(now_s)
+            (self._paced[incarnation[0]], report)
+            for incarnation, report in self.reports(now_s)
         ]
-        news.sort(key=lambda item: self._paced[item[0]].rank_news(item[1]))
-        for incarnation, report in news[:limit]:
-            paced = self._paced[incarnation]
+        news = [item for item in news if item[0].is_news(now_s)]
+        news.sort(key=lambda item: item[0].rank_news(item[1]))
+        for paced, report in news[:limit]:
             paced.reported_pace = report.pace
             paced.reported_s = now_s
-        return news[:limit]
+        return [(paced.incarnation, report) for paced, report in news[:limit]]
 
     def take_changes(self) -> list[PaceChange]:
         """Take the changes since the last call."""
@@ -337,18 +340,25 @@
 
     def keep_only(self, incarnations: Collection[Incarnation]) -> None:
         """Remove all servers except the given incarnations."""
-        for removed in self._paced.keys() - incarnations:
-            del self._paced[removed]
+        for paced in list(self._paced.values()):
+            if paced.incarnation not in incarnations:
+                del self._paced[paced.server.id]
         self._units.keep_only({incarnation[0] for incarnation in incarnations})
 
+    def _find(self, server: BackendServer) -> _Paced | None:
+        paced = self._paced.get(server.id)
+        if paced is None or paced.server is server:
+            return paced
+        return paced if paced.incarnation == server.incarnation else None
+
     def _get_paced(self, server: BackendServer, now_s: float) -> _Paced | None:
-        paced = self._paced.get(server.incarnation)
+        paced = self._find(server)
         if paced is None and now_s < server.cold_until_s:
             return self._begin(server, PaceCause.COLD, now_s)
         return paced
 
     def _begin(self, server: BackendServer, cause: PaceCause, now_s: float) -> _Paced:
-        paced = self._paced[server.incarnation] = _Paced(server, now_s)
+        paced = self._paced[server.id] = _Paced(server, now_s)
         self._add_change(paced, cause, now_s)
         return paced
 
@@ -376,6 +386,8 @@
 
     def _max_requests(self, paced: _Paced, now_s: float) -> int:
         requests = paced.pace.max_requests(now_s)
+        if self._heard_ratio == 1.0:
+            return requests
         return max(1, math.ceil(requests * self._heard_ratio))
 
     def _note_change(
--- a/tests/slowstart/test_pace.py
+++ b/tests/slowstart/test_pace.py
@@ -58,6 +58,13 @@
             pace.record_refusal(step * 0.3)
         assert pace.max_requests(5.8) == 1
 
+    def test_does_not_fall_below_probing_for_slow_responses(self):
+        """They may be slow for another reason, as on the link or at the entry."""
+        pace = _pace()
+        for step in range(20):
+            pace.record_response(2.0, EXPECTED_S, step * 0.3)
+        assert pace.max_requests(5.8) == PROBE_REQUESTS
+
     def test_falls_once_for_requests_that_fail_together(self):
         pace = _pace()
         _answer(pace, 4, 1.0)
