--- a/gentianhoist/slowstart/__init__.py
+++ b/gentianhoist/slowstart/__init__.py
@@ -18,6 +18,7 @@
     PaceReport,
     ServerPace,
 )
+from gentianhoist.slowstart._paced_server import PaceChange
 from gentianhoist.slowstart._shares import GROWTH_DELAY_S, Share, UnitShares
 from gentianhoist.slowstart._units import (
     LOAN_TTL_S,
@@ -25,7 +26,7 @@
     UnitLoan,
     UnitRequest,
 )
-from gentianhoist.slowstart.core import Incarnation, PaceChange, SlowStarts
+from gentianhoist.slowstart.core import Incarnation, SlowStarts
 
 __all__ = [
     "EVIDENCE_TTL_S",
--- a/gentianhoist/slowstart/_exchange.py
+++ b/gentianhoist/slowstart/_exchange.py
@@ -16,8 +16,9 @@
     check_pace,
     check_unit,
 )
+from gentianhoist.slowstart._paced_server import PaceChange
 from gentianhoist.slowstart._units import UnitLoan, UnitRequest
-from gentianhoist.slowstart.core import PaceChange, SlowStarts
+from gentianhoist.slowstart.core import SlowStarts
 from gentianhoist.telemetry import DecisionLog, EntryMetrics
 
 __all__ = ["ListedServer", "SlowStartExchange", "SlowStartPublisher"]
--- a/gentianhoist/slowstart/core.py
+++ b/gentianhoist/slowstart/core.py
@@ -11,86 +11,18 @@
 import math
 import random
 from collections.abc import Callable, Collection
-from typing import NamedTuple
 
 from gentianhoist.fleet import BackendServer, ServerGroup
-from gentianhoist.slowstart._pace import PaceCause, PaceReport, ServerPace
+from gentianhoist.slowstart._pace import PaceCause, PaceReport
+from gentianhoist.slowstart._paced_server import PaceChange, PacedServer
 from gentianhoist.slowstart._shares import UnitShares
 from gentianhoist.slowstart._units import StartUnits, UnitLoan, UnitRequest
 
-__all__ = ["Incarnation", "PaceChange", "SlowStarts"]
+__all__ = ["Incarnation", "SlowStarts"]
 
 Incarnation = tuple[str, str, int]
 OnLacking = Callable[[BackendServer, ServerGroup, float], None]
 
-# Longest time that an entry waits before it takes a free slot of a server that starts:
-# some times of the propagation of a message. All entries see the same slot as free.
-_MAX_TURN_WAIT_S = 0.06
-# A turn that wasn't used for so long is drawn anew. Otherwise all entries would have
-# one when a burst meets a server that was free for a while.
-_TURN_TTL_S = 0.25
-# Changes that are kept for the log until they are taken.
-_MAX_CHANGES = 1_000
-# Change of the pace in slots from which on the other entries are told.
-_MIN_REPORTED_SLOTS = 0.5
-# Evidence that is still valid is repeated after this time, as datagrams are lost.
-_REPORT_REPEAT_S = 0.75
-
-
-class PaceChange(NamedTuple):
-    """A change of what this entry assumes of a server's start.
-
-    Attributes:
-        server_id: Identifier of the server.
-        cause: Why it changed.
-        pace: Fraction of its slots that may be in use, over all entries.
-        max_requests: The same as a number of requests.
-        answered: Responses as expected, over all entries.
-        after_s: Seconds since the slow start began.
-    """
-
-    server_id: str
-    cause: PaceCause
-    pace: float
-    max_requests: int
-    answered: int
-    after_s: float
-
-
-class _Paced:
-    """A server with its pace, and what was logged and reported of it."""
-
-    def __init__(self, server: BackendServer, now_s: float) -> None:
-        self.server = server
-        self.incarnation = server.incarnation
-        self.pace = ServerPace(server.slots, server.cold_until_s, now_s)
-        self.logged_requests = self.pace.max_requests(now_s)
-        self.reported_pace = self.pace.pace(now_s)
-        self.reported_s = float("-inf")
-        # When this entry may take a free slot, None while none is free.
-        self.turn_s: float | None = None
-        self.seen_requests = 0
-
-    def see_requests(self, requests: int) -> None:
-        """End the turn if a request was placed, by this entry or by another one."""
-        if requests > self.seen_requests:
-            self.turn_s = None
-        self.seen_requests = requests
-
-    def is_news(self, now_s: float) -> bool:
-        """Whether the other entries don't know what this one found."""
-        own = self.pace.own_report(now_s)
-        if own is None:
-            return False
-        if not 0.0 <= now_s - self.reported_s < _REPORT_REPEAT_S:
-            return True
-        change = abs(own.pace - self.reported_pace) * max(1, self.server.slots)
-        return change >= _MIN_REPORTED_SLOTS
-
-    def rank_news(self, report: PaceReport) -> tuple[bool, float]:
-        """Order in which reports are sent: falls of the pace first, then the oldest."""
-        return report.pace >= self.reported_pace, self.reported_s
-
 
 class SlowStarts:
     """Aggregate of the slow starts of all servers, as one entry sees them.
@@ -115,7 +47,7 @@
         self._heard_ratio = 1.0
         self._entries = assumed_entries
         # By identifiers, as incarnations are slow to compare for each prompt.
-        self._paced: dict[str, _Paced] = {}
+        self._paced: dict[str, PacedServer] = {}
         self._changes: list[PaceChange] = []
         self._on_lacking: OnLacking | None = None
 
@@ -163,11 +95,11 @@
         paced = self._get_paced(server, now_s)
         if paced is None:
             return True
-        paced.see_requests(requests)
+        paced.turn.see_requests(requests)
         if requests >= self._max_requests(paced, now_s):
-            paced.turn_s = None
+            paced.turn.end()
             return False
-        if not self._is_turn(paced, now_s):
+        if not paced.turn.has_come(self._entries, self._rng, now_s):
             return False
         if self.has_unit(server, group, now_s):
             return True
@@ -211,7 +143,7 @@
         """Record a request that is being sent to a server."""
         paced = self._find(server)
         if paced is not None:
-            paced.turn_s = None
+            paced.turn.end()
         if now_s < server.cold_until_s:
             self._units.use(server.id, now_s)
 
@@ -329,8 +261,7 @@
         news = [item for item in news if item[0].is_news(now_s)]
         news.sort(key=lambda item: item[0].rank_news(item[1]))
         for paced, report in news[:limit]:
-            paced.reported_pace = report.pace
-            paced.reported_s = now_s
+            paced.mark_reported(report, now_s)
         return [(paced.incarnation, report) for paced, report in news[:limit]]
 
     def take_changes(self) -> list[PaceChange]:
@@ -345,70 +276,37 @@
                 del self._paced[paced.server.id]
         self._units.keep_only({incarnation[0] for incarnation in incarnations})
 
-    def _find(self, server: BackendServer) -> _Paced | None:
+    def _find(self, server: BackendServer) -> PacedServer | None:
         paced = self._paced.get(server.id)
         if paced is None or paced.server is server:
             return paced
         return paced if paced.incarnation == server.incarnation else None
 
-    def _get_paced(self, server: BackendServer, now_s: float) -> _Paced | None:
+    def _get_paced(self, server: BackendServer, now_s: float) -> PacedServer | None:
         paced = self._find(server)
         if paced is None and now_s < server.cold_until_s:
             return self._begin(server, PaceCause.COLD, now_s)
         return paced
 
-    def _begin(self, server: BackendServer, cause: PaceCause, now_s: float) -> _Paced:
-        paced = self._paced[server.id] = _Paced(server, now_s)
+    def _begin(
+        self, server: BackendServer, cause: PaceCause, now_s: float
+    ) -> PacedServer:
+        paced = self._paced[server.id] = PacedServer(server, now_s)
         self._add_change(paced, cause, now_s)
         return paced
 
-    def _is_turn(self, paced: _Paced, now_s: float) -> bool:
-        """Whether this entry may take a slot that all entries see as free.
-
-        Each of them waits for a random time first, in which it may hear that another
-        one has taken the slot. Of all entries, one on average doesn't wait.
-        """
-        turn_s = paced.turn_s
-        if turn_s is None or not -_MAX_TURN_WAIT_S <= now_s - turn_s < _TURN_TTL_S:
-            paced.turn_s = turn_s = now_s + self._draw_turn_wait_s()
-        return now_s >= turn_s
-
-    def _draw_turn_wait_s(self) -> float:
-        """Draw a time with a truncated exponential distribution.
-
-        So the expected number of entries that act before they hear of the first one
-        hardly grows with their number.
-        """
-        if self._entries < 2:
-            return 0.0
-        drawn = 1.0 + math.log(1.0 - self._rng.random()) / math.log(self._entries)
-        return _MAX_TURN_WAIT_S * max(0.0, drawn)
-
-    def _max_requests(self, paced: _Paced, now_s: float) -> int:
+    def _max_requests(self, paced: PacedServer, now_s: float) -> int:
         requests = paced.pace.max_requests(now_s)
         if self._heard_ratio == 1.0:
             return requests
         return max(1, math.ceil(requests * self._heard_ratio))
 
     def _note_change(
-        self, paced: _Paced, cause: PaceCause | None, now_s: float
+        self, paced: PacedServer, cause: PaceCause | None, now_s: float
     ) -> None:
         """Keep a change for the log if it allows another number of requests."""
-        is_change = paced.pace.max_requests(now_s) != paced.logged_requests
-        if cause is not None and is_change:
+        if cause is not None and paced.is_change(now_s):
             self._add_change(paced, cause, now_s)
 
-    def _add_change(self, paced: _Paced, cause: PaceCause, now_s: float) -> None:
-        pace = paced.pace
-        paced.logged_requests = pace.max_requests(now_s)
-        if len(self._changes) < _MAX_CHANGES:
-            self._changes.append(
-                PaceChange(
-                    paced.server.id,
-                    cause,
-                    round(pace.pace(now_s), 3),
-                    paced.logged_requests,
-                    pace.answered(now_s),
-                    round(now_s - pace.began_s, 3),
-                )
-            )
+    def _add_change(self, paced: PacedServer, cause: PaceCause, now_s: float) -> None:
+        self._changes.append(paced.take_change(cause, now_s))
