--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -10,6 +10,7 @@
 import os
 import secrets
 import socket
+from collections.abc import Iterable
 
 from gentianhoist.clocks import Clock, SystemClock
 from gentianhoist.dispatch import (
@@ -140,6 +141,7 @@
             self._metrics,
             self._dispatch.queue_scheduler.request_scan,
         )
+        self._peers.register(*self._dispatch.slow_starts.kinds)
         self._dispatcher = Dispatcher(self._dispatch)
         self._caller_server = HttpServer(
             self._serve, lambda: self._state.routing.limits, self._count_unreadable
@@ -150,7 +152,7 @@
         for follower in self._followers:
             self._table_exchange.publish(follower.name, follower.copy)
         self._registry = EntryRegistry(
-            adapter.entry_rows, settings.host, self._peers.set_peers, log
+            adapter.entry_rows, settings.host, self._take_entries, log
         )
 
     @property
@@ -405,6 +407,7 @@
             self._state.set_entry_count(known)
             self._state.slot_turns.set_others(self._peers.live_hosts)
             self._update_rate_limits()
+            self._update_slow_starts()
             self._metrics.set_gauges(
                 self._state.routing.version,
                 len(self._state.directory.servers),
@@ -412,6 +415,19 @@
                 len(self._state.rate_limits),
             )
 
+    def _take_entries(self, hosts: Iterable[str]) -> None:
+        """Take the registered entries; parts of limits shrink at once."""
+        self._peers.set_peers(hosts)
+        self._state.set_entry_count(1 + len(self._peers.peers))
+        self._update_slow_starts()
+
+    def _update_slow_starts(self) -> None:
+        self._dispatch.slow_starts.tick(
+            self._peers.peers,
+            self._state.assumed_entries,
+            1 + self._peers.live_count,
+        )
+
     def _update_rate_limits(self) -> None:
         """Tell the rate limits which entries there are."""
         peers = self._peers
