--- a/gentianhoist/dispatch/_attempt.py
+++ b/gentianhoist/dispatch/_attempt.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
 from typing import NamedTuple
@@ -15,6 +15,7 @@
     ServerCodec,
     ServerResponse,
 )
+from gentianhoist.exceptions import ErrorKind, HoistError
 from gentianhoist.fleet import BackendServer
 from gentianhoist.http1 import (
     AcquiredConnection,
@@ -22,6 +23,8 @@
     ConnectionFailed,
     ConnectionPool,
     DroppedResponse,
+    EncodedRequest,
+    ResponseCut,
 )
 
 __all__ = ["Attempt", "AttemptFailed", "Execution", "ResponseTrace", "StreamProgress"]
@@ -112,6 +115,10 @@
     heads_in_body: int
 
 
+async def _reserve_nothing(count: int) -> None:
+    return None
+
+
 class Attempt:
     """One attempt at a request, on one connection to one backend server.
 
@@ -159,7 +166,7 @@
 
     async def send(
         self,
-        encode: Callable[[], bytes],
+        encode: Callable[[], EncodedRequest],
         refusal_reason: Callable[[], str | None],
         *,
         max_idle_s: float,
@@ -243,16 +250,29 @@
                 )
         return response
 
-    async def read_body(self) -> bytes:
+    async def read_body(
+        self, reserve: Callable[[int], Awaitable[None]] = _reserve_nothing
+    ) -> bytes:
         """Read the complete body.
 
+        Args:
+            reserve: Waits until there is room for bytes of the response; no more are
+                read meanwhile.
+
         Raises:
             AttemptFailed: If the connection fails before the end, or the body exceeds
                 the size limit.
+            HoistError: If there is no room for the response.
         """
         parts = []
         size_bytes = 0
         while data := await self.read_chunk():
+            try:
+                await reserve(len(data))
+            except ResponseCut as cut:
+                raise HoistError(
+                    ErrorKind.BACKEND_FAILED, f"no memory for the response: {cut}"
+                ) from cut
             parts.append(data)
             size_bytes += len(data)
             if size_bytes > _MAX_BODY_BYTES:
--- a/gentianhoist/dispatch/_buffered_relay.py
+++ b/gentianhoist/dispatch/_buffered_relay.py
@@ -214,7 +214,7 @@
             response = await self.await_response(
                 attempt, wait_deadline_s, self._response_timeout_s
             )
-            body = await attempt.read_body()
+            body = await attempt.read_body(self._responder.reserve)
             complete = _CompleteResponse(response, body, attempt.trace)
         finally:
             self.finish(attempt)
--- a/gentianhoist/dispatch/_interfaces.py
+++ b/gentianhoist/dispatch/_interfaces.py
@@ -10,7 +10,7 @@
 
 from gentianhoist.backoff import ServerNotice
 from gentianhoist.fleet import BackendServer, Organisation
-from gentianhoist.http1 import Attribute, Headers, ResponseHead
+from gentianhoist.http1 import Attribute, EncodedRequest, Headers, ResponseHead
 from gentianhoist.quarantine import request_key
 from gentianhoist.ratelimits import LimitNotice, NoLimitNamed
 
@@ -148,7 +148,9 @@
 class ServerCodec(Protocol):
     """Encodes requests to backend servers and decodes their response heads."""
 
-    def encode(self, call: Call, server: BackendServer, options: SendOptions) -> bytes:
+    def encode(
+        self, call: Call, server: BackendServer, options: SendOptions
+    ) -> EncodedRequest:
         """Encode a request.
 
         Args:
--- a/gentianhoist/dispatch/_sender.py
+++ b/gentianhoist/dispatch/_sender.py
@@ -28,7 +28,12 @@
 )
 from gentianhoist.exceptions import ErrorKind, HoistError
 from gentianhoist.fleet import BackendServer, ServerGroup
-from gentianhoist.http1 import Attribution, DroppedResponse, Responder
+from gentianhoist.http1 import (
+    Attribution,
+    DroppedResponse,
+    EncodedRequest,
+    Responder,
+)
 from gentianhoist.quarantine import Refused, TrialResult, refusal_error
 from gentianhoist.ratelimits import SendPermit
 
@@ -134,7 +139,7 @@
             partial(_log_dropped, self._context, server.id, request.call.id),
         )
 
-        def encode() -> bytes:
+        def encode() -> EncodedRequest:
             nonlocal sent_s
             sent_s = self._context.clock.monotonic_s()
             remaining_s = request.remaining_s(self._loop.time())
--- a/gentianhoist/dispatch/_streams.py
+++ b/gentianhoist/dispatch/_streams.py
@@ -276,7 +276,7 @@
     async def _retry_or_forward_error(
         self, attempt: Attempt, response: ServerResponse
     ) -> str:
-        body = await attempt.read_body()
+        body = await attempt.read_body(self._responder.reserve)
         failure = AttemptFailed(
             Execution.UNKNOWN, f"the server responded with status {response.status}"
         )
--- a/gentianhoist/gateway/_adapter.py
+++ b/gentianhoist/gateway/_adapter.py
@@ -50,6 +50,7 @@
             Those that arrive later might not end within the grace period.
         server_lease_s: Seconds without a heartbeat after which the store removes the
             row of a backend server.
+        memory_limit_bytes: Memory that the process may use, None without a limit.
     """
 
     name: str
@@ -67,6 +68,7 @@
     drain_listen_s: float = 3.2
     drain_streams_s: float = 2.9
     server_lease_s: float = 3.6
+    memory_limit_bytes: int | None = None
 
 
 class OperatorView(NamedTuple):
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -29,7 +29,13 @@
     TableFollower,
 )
 from gentianhoist.gateway._adapter import GatewayAdapter, GatewaySettings
-from gentianhoist.http1 import CallerRequest, HttpServer, Responder
+from gentianhoist.http1 import (
+    BudgetLimits,
+    CallerRequest,
+    CutRecord,
+    HttpServer,
+    Responder,
+)
 from gentianhoist.peers import PeerLink, PeerTableExchange
 from gentianhoist.quarantine import (
     ConnectionProbe,
@@ -132,7 +138,11 @@
         self._peers.set_quotas(self._dispatch.retry_quotas)
         self._dispatcher = Dispatcher(self._dispatch)
         self._caller_server = HttpServer(
-            self._serve, lambda: self._state.routing.limits, self._count_unreadable
+            self._serve,
+            lambda: self._state.routing.limits,
+            self._count_unreadable,
+            _budget_limits(settings),
+            self._record_cut,
         )
         self._ready_server = HttpServer(self._report_ready)
         self._metrics_server = HttpServer(self._send_metrics)
@@ -324,6 +334,16 @@
         self._metrics.record_response(f"unreadable_{status}", 0.0)
         self._log.record("refused_unreadable", status=status)
 
+    def _record_cut(self, cut: CutRecord) -> None:
+        self._metrics.record_cut(cut.pool.value, cut.reason.value)
+        self._log.record(
+            "cut_for_memory",
+            pool=cut.pool.value,
+            reason=cut.reason.value,
+            held_bytes=cut.held_bytes,
+            waiting=cut.waiting,
+        )
+
     async def _report_ready(self, request: CallerRequest, responder: Responder) -> None:
         responder.send_response(200 if self.ready else 503, [], b"")
 
@@ -393,6 +413,7 @@
             )
             self._state.set_entry_count(known)
             self._update_rate_limits()
+            self._update_memory()
             self._metrics.set_gauges(
                 self._state.routing.version,
                 len(self._state.directory.servers),
@@ -400,8 +421,21 @@
                 len(self._state.rate_limits),
             )
 
+    def _update_memory(self) -> None:
+        if self._caller_server.memory is None:
+            return
+        budget = self._caller_server.memory.budget
+        for pool, reserved_bytes in budget.reserved_bytes.items():
+            self._metrics.set_reserved_bytes(pool.value, reserved_bytes)
+
     def _update_rate_limits(self) -> None:
         """Tell the rate limits which entries there are."""
         peers = self._peers
         min_entries = 1 if peers.is_registry_read else self._state.policy.min_entries
         self._dispatch.rate_limits.tick(peers.peers, peers.live_hosts, min_entries)
+
+
+def _budget_limits(settings: GatewaySettings) -> BudgetLimits | None:
+    if settings.memory_limit_bytes is None:
+        return None
+    return BudgetLimits.for_process(settings.memory_limit_bytes)
--- a/gentianhoist/http1/__init__.py
+++ b/gentianhoist/http1/__init__.py
@@ -8,9 +8,12 @@
     ConnectionFailed,
     PoolExhausted,
 )
+from gentianhoist.http1._connection_memory import ResponseCut
 from gentianhoist.http1._decimals import parse_decimal
 from gentianhoist.http1._exchange import BufferedResponse, exchange
+from gentianhoist.http1._memory_monitor import CutRecord
 from gentianhoist.http1._pool import AcquiredConnection, ConnectionPool, PoolLimits
+from gentianhoist.http1._receive_budget import BudgetLimits
 from gentianhoist.http1._responder import CallerRequest, Responder
 from gentianhoist.http1._responses import (
     Attribute,
@@ -22,17 +25,27 @@
     attribute_in_order,
 )
 from gentianhoist.http1._server import HttpServer
-from gentianhoist.http1.core import Headers, RequestLimits, encode_request, get_header
+from gentianhoist.http1.core import (
+    EncodedRequest,
+    Headers,
+    RequestLimits,
+    encode_request,
+    encode_request_parts,
+    get_header,
+)
 
 __all__ = [
     "Attribute",
     "Attribution",
+    "BudgetLimits",
     "CallerRequest",
+    "CutRecord",
     "ClientConnection",
     "ConnectionFailed",
     "ConnectionPool",
     "DropPosition",
     "DroppedResponse",
+    "EncodedRequest",
     "Headers",
     "HttpServer",
     "AcquiredConnection",
@@ -40,10 +53,12 @@
     "PoolLimits",
     "RequestLimits",
     "Responder",
+    "ResponseCut",
     "ResponseFraming",
     "ResponseHead",
     "BufferedResponse",
     "encode_request",
+    "encode_request_parts",
     "exchange",
     "parse_decimal",
     "attribute_in_order",
--- a/gentianhoist/http1/_client.py
+++ b/gentianhoist/http1/_client.py
@@ -22,6 +22,7 @@
     ResponseHead,
     attribute_in_order,
 )
+from gentianhoist.http1.core import EncodedRequest
 
 __all__ = ["ClientConnection", "ConnectionFailed", "PoolExhausted"]
 
@@ -30,6 +31,8 @@
 # complete only if no more of that head follows for a while.
 _MIN_DOUBTFUL_BYTES = len(b"HTTP/1.")
 _MAX_END_WAIT_S = 0.05
+# Larger bodies are written on their own, since a copy would need as much memory again.
+_MAX_COPIED_BYTES = 64 * 1024
 
 
 class ConnectionFailed(Exception):
@@ -56,6 +59,16 @@
         )
 
 
+def _parts_to_write(data: bytes | EncodedRequest) -> tuple[bytes, ...]:
+    match data:
+        case EncodedRequest(head=head, body=body) if len(body) > _MAX_COPIED_BYTES:
+            return head, body
+        case EncodedRequest(head=head, body=body):
+            return (head + body,)
+        case _:
+            return (data,)
+
+
 def _ignore_dropped(dropped: DroppedResponse) -> None:
     return None
 
@@ -156,7 +169,7 @@
 
     def send(
         self,
-        data: bytes,
+        data: bytes | EncodedRequest,
         *,
         head_only: bool = False,
         attribute: Attribute = attribute_in_order,
@@ -184,7 +197,8 @@
         self._buffered_bytes = 0
         self._cancel_end_timer()
         self._reader.expect(attribute, head_only=head_only)
-        self._transport.write(data)
+        for part in _parts_to_write(data):
+            self._transport.write(part)
 
     async def read_head(self) -> ResponseHead:
         """Wait for the status and headers of the response to the request.
--- a/gentianhoist/http1/_responder.py
+++ b/gentianhoist/http1/_responder.py
@@ -68,6 +68,14 @@
         """Wait while the write buffer is too full to take more data."""
         ...
 
+    async def reserve_response(self, count: int) -> None:
+        """Wait until there is room for bytes of a response that is kept whole.
+
+        Raises:
+            ResponseCut: If there is none.
+        """
+        ...
+
     def abort(self) -> None:
         """Reset the connection."""
         ...
@@ -129,6 +137,14 @@
         """Whether the response is complete or was aborted."""
         return self._finished
 
+    async def reserve(self, count: int) -> None:
+        """Wait until there is room for bytes of a response, before more are read.
+
+        Raises:
+            ResponseCut: If there is none.
+        """
+        await self._connection.reserve_response(count)
+
     def send_response(
         self, status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes
     ) -> None:
--- a/gentianhoist/http1/core.py
+++ b/gentianhoist/http1/core.py
@@ -8,10 +8,12 @@
 
 __all__ = [
     "UNFORWARDED_HEADERS",
+    "EncodedRequest",
     "Headers",
     "RequestLimits",
     "encode_head",
     "encode_request",
+    "encode_request_parts",
     "get_header",
 ]
 
@@ -51,6 +53,18 @@
     idle_timeout_s: float = 15.0
 
 
+class EncodedRequest(NamedTuple):
+    """An encoded request, whose body isn't copied to follow the head.
+
+    Attributes:
+        head: Request line and headers, with the blank line.
+        body: The body.
+    """
+
+    head: bytes
+    body: bytes
+
+
 def get_header(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header.
 
@@ -109,11 +123,18 @@
     Returns:
         The bytes to send.
     """
+    return b"".join(encode_request_parts(method, target, headers, body))
+
+
+def encode_request_parts(
+    method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes
+) -> EncodedRequest:
+    """Encode a complete request as `encode_request`, without a copy of its body."""
     lines = [b"%b %b HTTP/1.1" % (method, target)]
     lines += [b"%b: %b" % item for item in headers]
     if body or method not in {b"GET", b"HEAD", b"DELETE", b"OPTIONS"}:
         lines.append(b"Content-Length: %d" % len(body))
-    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+    return EncodedRequest(b"\r\n".join(lines) + b"\r\n\r\n", body)
 
 
 def encode_head(status: int, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
--- a/gentianhoist/telemetry/_exposition.py
+++ b/gentianhoist/telemetry/_exposition.py
@@ -88,6 +88,18 @@
             ["position", "names_request"],
             registry=registry,
         )
+        self._reserved_bytes = Gauge(
+            "entry_reserved_bytes",
+            "Bytes of requests and responses that are held or reserved, by pool.",
+            ["pool"],
+            registry=registry,
+        )
+        self._cuts = Counter(
+            "entry_cut_for_memory",
+            "Requests and responses given up for the memory limit, by pool and reason.",
+            ["pool", "reason"],
+            registry=registry,
+        )
         self._dropped_lines = Gauge(
             "entry_log_lines_dropped", "Log lines dropped.", registry=registry
         )
@@ -134,6 +146,19 @@
         """
         self._dropped_responses.labels(position, str(names_request).lower()).inc()
 
+    def record_cut(self, pool: str, reason: str) -> None:
+        """Count a request or response that was given up for the memory limit.
+
+        Args:
+            pool: Pool of its bytes.
+            reason: Why it was given up.
+        """
+        self._cuts.labels(pool, reason).inc()
+
+    def set_reserved_bytes(self, pool: str, count: int) -> None:
+        """Set the bytes that requests and responses hold or reserve in a pool."""
+        self._reserved_bytes.labels(pool).set(count)
+
     def record_pause(self) -> None:
         """Count a refusal in which a backend server named a pause."""
         self._server_pauses.inc()
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -320,6 +320,9 @@
         self.headers = dict(headers)
         self.started = True
 
+    async def reserve(self, count: int) -> None:
+        return None
+
     async def send_chunk(self, data: bytes) -> None:
         self.body += data
 
--- a/tests/dispatch/test_one_response.py
+++ b/tests/dispatch/test_one_response.py
@@ -40,6 +40,9 @@
     async def wait_writable(self) -> None:
         await asyncio.sleep(0)
 
+    async def reserve_response(self, count: int) -> None:
+        return None
+
     def abort(self) -> None:
         self.aborted = True
 
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -6,7 +6,11 @@
 import pytest
 
 from gentianhoist.placement import ExpectedValue, LeastOutstanding, QueueOrder
-from gentianhoist_platform.settings import dispatch_policy, load_settings
+from gentianhoist_platform.settings import (
+    dispatch_policy,
+    gateway_settings,
+    load_settings,
+)
 
 _LINES = """\
 node_name=edge-1
@@ -62,6 +66,8 @@
         ("bounds.drain_ms=0", "bounds.drain_ms"),
         ("bounds.retry_ratio=-0.1", "bounds.retry_ratio"),
         ("metrics_port=70000", "metrics_port"),
+        ("limits.memory_mb=95", "limits.memory_mb"),
+        ("limits.memory_mb=a", "limits.memory_mb"),
         ("GENTIANHOIST_QUEUE=last_come", "GENTIANHOIST_QUEUE"),
     ],
 )
@@ -73,6 +79,15 @@
     assert error.path == field
 
 
+@pytest.mark.parametrize(
+    ("line", "limit_bytes"), [("", None), ("limits.memory_mb=152", 152 * 1024 * 1024)]
+)
+def test_memory_is_limited_only_if_the_settings_say_so(path, line, limit_bytes):
+    path.write_text(_LINES + line + "\n")
+    settings = gateway_settings(load_settings(path, {}))
+    assert settings.memory_limit_bytes == limit_bytes
+
+
 def test_entry_imports_no_unused_packages():
     """Imports delay the restart of all entries after a power failure."""
     code = (
--- a/tests/platform_adapter/test_uncontrolled_clients.py
+++ b/tests/platform_adapter/test_uncontrolled_clients.py
@@ -1,12 +1,13 @@
 """Surges of uncontrolled clients leave an entry alive, small and answering others.
 
-Such clients drove an entry's process from 300 MB to 751 MB. Each test starts the entry's
-own process with a small memory limit, and checks only what doesn't depend on speed.
+Such clients drove an entry's process from 300 MB to 751 MB. Each test starts the
+process of an entry with a small memory limit, and checks only what doesn't depend on
+speed.
 """
 
 import asyncio
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
@@ -161,7 +162,7 @@
 
 
 @asynccontextmanager
-async def surge(clients: list) -> AsyncIterator[None]:
+async def surge(clients: list) -> AsyncGenerator[None]:
     """Run clients at once while the body of the statement runs."""
     tasks = [asyncio.create_task(client) for client in clients]
     try:
