--- a/gentianhoist/http1/_request_reader.py
+++ b/gentianhoist/http1/_request_reader.py
@@ -197,9 +197,11 @@
         if self._in_declined_upgrade:
             return
         self._sink.on_body_begin()
-        self._request.body = self._body.take()
+        # An idle connection must not keep the body of the request before.
+        request, self._request = self._request, CallerRequest()
+        request.body = self._body.take()
         self._overhead_bytes = 0
-        self._sink.on_request(self._request)
+        self._sink.on_request(request)
 
     def _add_header_bytes(self, count: int) -> None:
         self._section_bytes += count
--- a/tests/platform_adapter/test_uncontrolled_clients.py
+++ b/tests/platform_adapter/test_uncontrolled_clients.py
@@ -252,6 +252,15 @@
     await check_surge(entry, clients)
 
 
+async def test_bodies_that_a_silent_server_keeps_for_a_second_attempt(entry):
+    """They are kept until the deadline; what finds no room meanwhile is refused."""
+    entry.desk.faults.silent = True
+    body = b"x" * _MAX_BODY_BYTES
+    start = head("/look/x", b"Content-Length: %d" % len(body), timeout_s=10.0)
+    clients = [_send_pieces(entry, [start, body]) for _ in range(_CLIENTS)]
+    await check_surge(entry, clients, "/brief/x")
+
+
 async def test_large_pipelined_requests(entry):
     body = b"x" * 200_000
     request = head("/look/x", b"Content-Length: %d" % len(body)) + body
