--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -91,6 +91,7 @@
         self._state = DispatchState(settings.dispatch_policy, host=settings.host)
         self._operator_rows: dict[str, FeedRow] = {}
         self._draining = False
+        self._is_memory_short = False
         self._tables_loaded = asyncio.Event()
         self._is_quarantine_loaded = False
         self._startup_hold_end_s = 0.0
@@ -425,6 +426,17 @@
         if self._caller_server.memory is None:
             return
         budget = self._caller_server.memory.budget
+        is_short = bool(budget.waiting)
+        if is_short != self._is_memory_short:
+            self._is_memory_short = is_short
+            self._log.record(
+                "memory_short" if is_short else "memory_sufficient",
+                waiting=budget.waiting,
+                **{
+                    f"{pool.value}_bytes": n
+                    for pool, n in budget.reserved_bytes.items()
+                },
+            )
         for pool, reserved_bytes in budget.reserved_bytes.items():
             self._metrics.set_reserved_bytes(pool.value, reserved_bytes)
 
--- a/gentianhoist/http1/_connection.py
+++ b/gentianhoist/http1/_connection.py
@@ -151,6 +151,8 @@
         if not self._is_reading:
             return
         self._reader.feed(data)
+        if self._reader.error_status:
+            self._reader.discard()
         self._memory.update(self._reader)
         self._start_next_request()
 
@@ -225,10 +227,12 @@
         """Reset the connection, whose caller doesn't read a response."""
         self.abort()
 
-    def check_delivery(self) -> None:
-        """Look whether the caller reads a response that was written."""
+    def check_progress(self) -> None:
+        """Look whether the caller reads, and whether it may send."""
         if self._transport is None:
             return
+        if self._input.is_paused:
+            self._memory.record_pause()
         unsent_bytes = self._transport.get_write_buffer_size()
         if unsent_bytes < self._unsent_bytes:
             self._memory.record_read()
--- a/gentianhoist/http1/_connection_memory.py
+++ b/gentianhoist/http1/_connection_memory.py
@@ -56,6 +56,9 @@
     def update(self, reader: RequestReader) -> None:
         """Take that a slice was parsed."""
 
+    def record_pause(self) -> None:
+        """Take that the connection doesn't read, so that its caller can't send."""
+
     def complete_request(self, reader: RequestReader) -> Hold | None:
         """Take that a request is complete; returns what it holds."""
         return None
@@ -105,6 +108,7 @@
         self._pending_bytes = 0
         self._response: Hold | None = None
         self._response_bytes = 0
+        self._is_delivering = False
         self._room: asyncio.Future[None] | None = None
         budget.open_connection()
 
@@ -146,6 +150,11 @@
             self._loop.time(),
         )
 
+    def record_pause(self) -> None:
+        """Don't count the pause as time without progress."""
+        if self._request is not None:
+            self._budget.excuse(self._request, self._loop.time())
+
     def complete_request(self, reader: RequestReader) -> Hold | None:
         """Keep the bytes of a complete request until its response."""
         hold, self._request = self._request, None
@@ -191,18 +200,28 @@
             await self._room
 
     def record_written(self) -> None:
-        """Give the caller a limited time for the rest of the response."""
-        if self._response is not None:
-            self._budget.deliver(self._response, self._loop.time())
+        """Give the caller a limited time for the rest of the response.
+
+        Small responses that together fill the write buffer are not counted, but their
+        connection would else stay open for ever.
+        """
+        if self._response is None:
+            self._response = self._budget.open_response(
+                self._on_room, self._cut_response, self._loop.time()
+            )
+        self._is_delivering = True
+        self.record_read()
 
     def record_read(self) -> None:
         """Take that the caller has read a part of a response."""
-        self.record_written()
+        if self._response is not None and self._is_delivering:
+            self._budget.deliver(self._response, self._loop.time())
 
     def end_response(self) -> None:
         """Give back what a response held."""
         hold, self._response = self._response, None
         self._response_bytes = 0
+        self._is_delivering = False
         if hold is not None:
             self._budget.close(hold)
 
--- a/gentianhoist/http1/_input.py
+++ b/gentianhoist/http1/_input.py
@@ -42,6 +42,11 @@
         """Whether all received bytes have been parsed."""
         return not self._waiting
 
+    @property
+    def is_paused(self) -> bool:
+        """Whether the transport doesn't read."""
+        return self._is_paused
+
     def start(self, transport: asyncio.ReadTransport) -> None:
         """Begin to control the reading of a transport."""
         self._transport = transport
--- a/gentianhoist/http1/_memory_monitor.py
+++ b/gentianhoist/http1/_memory_monitor.py
@@ -23,7 +23,7 @@
     """A request or response that was given up, for logs and metrics.
 
     Attributes:
-        pool: Pool of its bytes.
+        pool: Pool of its bytes, or the one in which it waited for room.
         reason: Why it was given up.
         held_bytes: Bytes that it held.
         waiting: Number of others that waited for room.
@@ -38,8 +38,8 @@
 class MonitoredConnection(Protocol):
     """Connection to a caller, as `MemoryMonitor` uses it."""
 
-    def check_delivery(self) -> None:
-        """Look whether the caller reads a response that was written."""
+    def check_progress(self) -> None:
+        """Look whether the caller reads, and whether it may send."""
         ...
 
 
@@ -84,11 +84,14 @@
     def _check(self) -> None:
         self.start()
         for connection in list(self._connections()):
-            connection.check_delivery()
+            connection.check_progress()
         now_s = asyncio.get_running_loop().time()
         for cut in self.budget.cuts_due(self._idle_timeout_s(), now_s):
             record = CutRecord(
-                cut.hold.pool, cut.reason, cut.hold.held_bytes, self.budget.waiting
+                cut.hold.wanted_pool,
+                cut.reason,
+                cut.hold.held_bytes,
+                self.budget.waiting,
             )
             if self.budget.cut(cut):
                 self._on_cut(record)
--- a/gentianhoist/http1/_receive_budget.py
+++ b/gentianhoist/http1/_receive_budget.py
@@ -92,6 +92,8 @@
         now_s: Present time.
 
     Attributes:
+        pool: Pool of its reservation.
+        wanted_pool: Pool in which it waits, or has waited last.
         held_bytes: Bytes that it holds.
         reserved_bytes: Bytes that are reserved for it, at least those it holds.
     """
@@ -254,6 +256,10 @@
         hold.is_in_progress = True
         hold.received_s = hold.progress_s = now_s
 
+    def excuse(self, hold: Hold, now_s: float) -> None:
+        """Take that no bytes could come up to now, for another reason than room."""
+        hold.received_s = hold.progress_s = now_s
+
     def complete(self, hold: Hold) -> None:
         """Keep what a request holds until its response, and give back the rest."""
         hold.is_in_progress = False
