Cut slow large bodies, those that never fit, and idle connections

Cause: with 1 KiB a second a client could keep the room of a whole body while others waited; a body larger than the pool held up those behind it for 2 s; idle connections were counted but had no bound. Change: a large hold needs 16 KiB in 1 s while others wait; a hold that never fits is refused at once, and a configuration whose bodies don't fit is logged by field; connections idle for longest are closed when the small pool is exceeded.

--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -378,11 +378,24 @@
             self._log.record(
                 "configuration_taken", version=view.configuration.version, before=before
             )
+            self._check_body_limit()
         self._update_tables_loaded()
         if view.zones_out != self._state.directory.zones_out:
             self._state.directory.set_zones_out(view.zones_out)
             self._log.record("zones_out", zones=sorted(view.zones_out))
 
+    def _check_body_limit(self) -> None:
+        """Log a limit of bodies that the memory limit doesn't have room for."""
+        budget_limits = _budget_limits(self._settings)
+        max_bytes = self._state.routing.limits.max_body_bytes
+        if budget_limits is not None and max_bytes > budget_limits.large_bytes:
+            self._log.record(
+                "body_limit_exceeds_memory",
+                field="max_body_bytes",
+                value=max_bytes,
+                large_bytes=budget_limits.large_bytes,
+            )
+
     def _replace_servers(self, rows: list[FeedRow]) -> None:
         now_s = self._clock.monotonic_s()
         listings = self._adapter.decode_servers(rows, now_s)
--- a/gentianhoist/http1/_connection.py
+++ b/gentianhoist/http1/_connection.py
@@ -78,6 +78,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._unsent_bytes = 0
+        self._idle_since_s = self._loop.time()
         self._discards_input = False
         self._expectation = ContinueExpectation(self._is_next_to_respond, self.write)
 
@@ -108,6 +109,12 @@
         """
         return not self._has_request and self._input.is_empty
 
+    @property
+    def idle_since_s(self) -> float | None:
+        """When its last request ended, None if there is one now."""
+        is_busy = not self.is_idle or self._memory.is_receiving
+        return None if is_busy or self.has_unsent_bytes else self._idle_since_s
+
     @property
     def _has_request(self) -> bool:
         """Whether headers are being read, or a request is pending or in progress."""
@@ -348,6 +355,7 @@
             self._memory.record_written()
 
     def _on_response_sent(self) -> None:
+        self._idle_since_s = self._loop.time()
         if self.is_idle and self.is_draining:
             self.close()
             return
--- a/gentianhoist/http1/_connection_memory.py
+++ b/gentianhoist/http1/_connection_memory.py
@@ -42,6 +42,11 @@
     # Whether a complete response must be read before the next request is handled.
     is_limited = False
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has begun and isn't complete."""
+        return False
+
     @property
     def may_read(self) -> bool:
         """Whether there is room for the next slice."""
@@ -112,6 +117,11 @@
         self._room: asyncio.Future[None] | None = None
         budget.open_connection()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has begun and isn't complete."""
+        return self._request is not None
+
     @property
     def may_read(self) -> bool:
         """Whether there is room for the next slice."""
--- a/gentianhoist/http1/_receive_budget.py
+++ b/gentianhoist/http1/_receive_budget.py
@@ -26,8 +26,10 @@
 _FIRST_STEP_BYTES = 16 * 1024
 # Bytes that may be added before the hold is updated.
 _SLICE_BYTES = 8 * 1024
-# Less than this between two checks is no progress while there is too little room.
+# Fewer bytes in `stall_s` are no progress while others wait. A link of 7 Mbit/s has a
+# multiple of the second for each large body that 152 MB have room for.
 _MIN_PROGRESS_BYTES = 1024
+_MIN_LARGE_PROGRESS_BYTES = 16 * 1024
 
 
 class Pool(Enum):
@@ -42,6 +44,7 @@
     """Why a hold has to be given up."""
 
     NO_PROGRESS = "no_progress"
+    IDLE = "idle"
     NO_ROOM = "no_room"
     MADE_ROOM = "made_room"
 
@@ -178,6 +181,13 @@
         """Number of holds that wait for room."""
         return sum(len(state.waiting()) for state in self._pools.values())
 
+    @property
+    def excess_connections(self) -> int:
+        """Number of connections by which the small pool is exceeded."""
+        state = self._pools[Pool.SMALL]
+        excess_bytes = max(0, state.reserved_bytes - state.capacity_bytes)
+        return -(-excess_bytes // _CONNECTION_BYTES)
+
     def open_connection(self) -> None:
         """Count a connection; it is not refused, so the small pool may be exceeded."""
         self._pools[Pool.SMALL].reserved_bytes += _CONNECTION_BYTES
@@ -241,7 +251,9 @@
         total_bytes = max_bytes + _REQUEST_BYTES
         needed_bytes = min(held_bytes + _SLICE_BYTES, total_bytes)
         if not hold.is_waiting and needed_bytes > hold.reserved_bytes:
-            step_bytes = min(2 * hold.reserved_bytes, total_bytes)
+            step_bytes = min(
+                2 * hold.reserved_bytes, total_bytes, self._limits.large_bytes
+            )
             self._want(hold, max(step_bytes, needed_bytes), now_s)
 
     def add_response(self, hold: Hold, count: int, now_s: float) -> None:
@@ -294,7 +306,9 @@
         }
         for pool, state in self._pools.items():
             for hold in state.waiting():
-                if now_s - hold.waiting_since_s > self._limits.max_wait_s:
+                waited_s = now_s - hold.waiting_since_s
+                never_fits = hold.wanted_bytes > state.capacity_bytes
+                if never_fits or waited_s > self._limits.max_wait_s:
                     cuts.setdefault(hold, CutReason.NO_ROOM)
             for hold in self._in_the_way(pool, cuts, now_s):
                 cuts.setdefault(hold, CutReason.MADE_ROOM)
@@ -310,7 +324,8 @@
     def retry_after_s(self, spread: float) -> float:
         """Seconds after which a refused caller probably finds room.
 
-        Each turn of what waits takes at most as long as a hold may wait.
+        Each time that what waits fills the pool is taken to last as long as a hold may
+        go without progress.
 
         Args:
             spread: Random number in [0, 1), so that callers don't come back together.
@@ -360,7 +375,9 @@
             return
         hold.received_s = now_s
         hold.unmarked_bytes += count
-        if hold.unmarked_bytes >= _MIN_PROGRESS_BYTES:
+        is_large = hold.pool is Pool.LARGE
+        min_bytes = _MIN_LARGE_PROGRESS_BYTES if is_large else _MIN_PROGRESS_BYTES
+        if hold.unmarked_bytes >= min_bytes:
             hold.unmarked_bytes = 0
             hold.progress_s = now_s
 
--- a/tests/http1/test_server_memory.py
+++ b/tests/http1/test_server_memory.py
@@ -249,6 +249,24 @@
     writer.close()
 
 
+async def test_oldest_idle_connections_make_room_for_others(server):
+    """Idle connections need memory too, and their number has no other limit."""
+    count = _BUDGET.small_bytes // (8 * _KIB) + 8
+    writers = []
+    for _ in range(count):
+        _, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writers.append(writer)
+    async with asyncio.timeout(_TIMEOUT_S):
+        while len(server.http_server.connections) > count - 8:
+            await asyncio.sleep(0.02)
+    assert {cut.reason for cut in server.cuts} == {CutReason.IDLE}
+    status = await _status(server, _request(b"/", b"small"))
+    assert status == b"HTTP/1.1 200 OK\r\n"
+    for writer in writers:
+        writer.close()
+    await server.wait_until_free()
+
+
 async def test_idle_connection_keeps_nothing_of_its_last_request(server):
     """An idle connection kept the body of the request before."""
     reader, writer = await _open(server, _request(b"/", _body()))
