Report the memory limit from a module of its own

Change: MemoryReporter has the log lines and metrics; core.py only wires it. Evidence: tests/gateway, test_uncontrolled_clients.py and test_start.py 23 passed.

--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -29,13 +29,8 @@
     TableFollower,
 )
 from gentianhoist.gateway._adapter import GatewayAdapter, GatewaySettings
-from gentianhoist.http1 import (
-    BudgetLimits,
-    CallerRequest,
-    CutRecord,
-    HttpServer,
-    Responder,
-)
+from gentianhoist.gateway._memory_reporter import MemoryReporter
+from gentianhoist.http1 import CallerRequest, HttpServer, Responder
 from gentianhoist.peers import PeerLink, PeerTableExchange
 from gentianhoist.quarantine import (
     ConnectionProbe,
@@ -91,7 +86,6 @@
         self._state = DispatchState(settings.dispatch_policy, host=settings.host)
         self._operator_rows: dict[str, FeedRow] = {}
         self._draining = False
-        self._is_memory_short = False
         self._tables_loaded = asyncio.Event()
         self._is_quarantine_loaded = False
         self._startup_hold_end_s = 0.0
@@ -138,12 +132,13 @@
         self._peers.set_leaving(self._dispatch)
         self._peers.set_quotas(self._dispatch.retry_quotas)
         self._dispatcher = Dispatcher(self._dispatch)
+        self._memory = MemoryReporter(settings.memory_limit_bytes, log, self._metrics)
         self._caller_server = HttpServer(
             self._serve,
             lambda: self._state.routing.limits,
             self._count_unreadable,
-            _budget_limits(settings),
-            self._record_cut,
+            self._memory.limits,
+            self._memory.record_cut,
         )
         self._ready_server = HttpServer(self._report_ready)
         self._metrics_server = HttpServer(self._send_metrics)
@@ -335,16 +330,6 @@
         self._metrics.record_response(f"unreadable_{status}", 0.0)
         self._log.record("refused_unreadable", status=status)
 
-    def _record_cut(self, cut: CutRecord) -> None:
-        self._metrics.record_cut(cut.pool.value, cut.reason.value)
-        self._log.record(
-            "cut_for_memory",
-            pool=cut.pool.value,
-            reason=cut.reason.value,
-            held_bytes=cut.held_bytes,
-            waiting=cut.waiting,
-        )
-
     async def _report_ready(self, request: CallerRequest, responder: Responder) -> None:
         responder.send_response(200 if self.ready else 503, [], b"")
 
@@ -378,24 +363,12 @@
             self._log.record(
                 "configuration_taken", version=view.configuration.version, before=before
             )
-            self._check_body_limit()
+            self._memory.check_body_limit(self._state.routing.limits.max_body_bytes)
         self._update_tables_loaded()
         if view.zones_out != self._state.directory.zones_out:
             self._state.directory.set_zones_out(view.zones_out)
             self._log.record("zones_out", zones=sorted(view.zones_out))
 
-    def _check_body_limit(self) -> None:
-        """Log a limit of bodies that the memory limit doesn't have room for."""
-        budget_limits = _budget_limits(self._settings)
-        max_bytes = self._state.routing.limits.max_body_bytes
-        if budget_limits is not None and max_bytes > budget_limits.large_bytes:
-            self._log.record(
-                "body_limit_exceeds_memory",
-                field="max_body_bytes",
-                value=max_bytes,
-                large_bytes=budget_limits.large_bytes,
-            )
-
     def _replace_servers(self, rows: list[FeedRow]) -> None:
         now_s = self._clock.monotonic_s()
         listings = self._adapter.decode_servers(rows, now_s)
@@ -427,7 +400,7 @@
             )
             self._state.set_entry_count(known)
             self._update_rate_limits()
-            self._update_memory()
+            self._memory.update(self._caller_server)
             self._metrics.set_gauges(
                 self._state.routing.version,
                 len(self._state.directory.servers),
@@ -435,32 +408,8 @@
                 len(self._state.rate_limits),
             )
 
-    def _update_memory(self) -> None:
-        if self._caller_server.memory is None:
-            return
-        budget = self._caller_server.memory.budget
-        is_short = bool(budget.waiting)
-        if is_short != self._is_memory_short:
-            self._is_memory_short = is_short
-            self._log.record(
-                "memory_short" if is_short else "memory_sufficient",
-                waiting=budget.waiting,
-                **{
-                    f"{pool.value}_bytes": n
-                    for pool, n in budget.reserved_bytes.items()
-                },
-            )
-        for pool, reserved_bytes in budget.reserved_bytes.items():
-            self._metrics.set_reserved_bytes(pool.value, reserved_bytes)
-
     def _update_rate_limits(self) -> None:
         """Tell the rate limits which entries there are."""
         peers = self._peers
         min_entries = 1 if peers.is_registry_read else self._state.policy.min_entries
         self._dispatch.rate_limits.tick(peers.peers, peers.live_hosts, min_entries)
-
-
-def _budget_limits(settings: GatewaySettings) -> BudgetLimits | None:
-    if settings.memory_limit_bytes is None:
-        return None
-    return BudgetLimits.for_process(settings.memory_limit_bytes)
