--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -30,6 +30,7 @@
     TableFollower,
 )
 from gentianhoist.gateway._adapter import GatewayAdapter, GatewaySettings
+from gentianhoist.gateway._memory_reporter import MemoryReporter
 from gentianhoist.http1 import CallerRequest, HttpServer, Responder
 from gentianhoist.peers import PeerLink, PeerTableExchange
 from gentianhoist.quarantine import (
@@ -143,8 +144,13 @@
         )
         self._peers.register(*self._dispatch.slow_starts.kinds)
         self._dispatcher = Dispatcher(self._dispatch)
+        self._memory = MemoryReporter(settings.memory_limit_bytes, log, self._metrics)
         self._caller_server = HttpServer(
-            self._serve, lambda: self._state.routing.limits, self._count_unreadable
+            self._serve,
+            lambda: self._state.routing.limits,
+            self._count_unreadable,
+            self._memory.limits,
+            self._memory.record_cut,
         )
         self._ready_server = HttpServer(self._report_ready)
         self._metrics_server = HttpServer(self._send_metrics)
@@ -369,6 +375,7 @@
             self._log.record(
                 "configuration_taken", version=view.configuration.version, before=before
             )
+            self._memory.check_body_limit(self._state.routing.limits.max_body_bytes)
         self._update_tables_loaded()
         if view.zones_out != self._state.directory.zones_out:
             self._state.directory.set_zones_out(view.zones_out)
@@ -408,6 +415,7 @@
             self._state.slot_turns.set_others(self._peers.live_hosts)
             self._update_rate_limits()
             self._update_slow_starts()
+            self._memory.update(self._caller_server)
             self._metrics.set_gauges(
                 self._state.routing.version,
                 len(self._state.directory.servers),
