Count the calls to the store by table, cause and outcome

Cause: the counter of store calls that the entry declared was never used, so an operator could not tell what loads the store, or whether an entry retries.

Change: the platform's store client counts each call when it ends, through StoreCallCounter. The table follower, the entry registry and the quarantine name the cause, as a context variable, so that the interfaces in between stay as they are. Retries have causes of their own. The metric is gentianhoist_store_calls_total{table,cause,outcome}; entry_store_calls_total is removed.

--- a/gentianhoist/fleet/_entry_registry.py
+++ b/gentianhoist/fleet/_entry_registry.py
@@ -8,7 +8,11 @@
 from typing import Protocol
 
 from gentianhoist.fleet._background_task import BackgroundTask
-from gentianhoist.store import StoreUnavailable
+from gentianhoist.store import (
+    StoreCallCause,
+    StoreUnavailable,
+    store_calls_caused_by,
+)
 from gentianhoist.telemetry import DecisionLog
 
 __all__ = ["EntryRegistry", "EntryRows"]
@@ -71,23 +75,30 @@
 
     async def _run(self) -> None:
         is_first_round = True
+        cause = StoreCallCause.REGISTRY
         while True:
             try:
-                # Read first: on_hosts requests the commitments of new peers, and a slow
-                # or failed write must not delay that.
-                # Read again after the first write, so that of two entries that start
-                # together at least one discovers the other.
-                self._on_hosts(await self._rows.hosts())
-                await self._rows.renew(self._host)
-                if is_first_round:
-                    self._on_hosts(await self._rows.hosts())
+                with store_calls_caused_by(cause):
+                    await self._run_round(is_first=is_first_round)
                 is_first_round = False
+                cause = StoreCallCause.REGISTRY
             except StoreUnavailable as error:
                 self._log.record("registry_unavailable", reason=str(error))
+                cause = StoreCallCause.REGISTRY_RETRY
                 await asyncio.sleep(_with_jitter(_RETRY_INTERVAL_S))
             else:
                 await self._wait_for_next_renewal()
 
+    async def _run_round(self, *, is_first: bool) -> None:
+        # Read first: on_hosts requests the commitments of new peers, and a slow or
+        # failed write must not delay that.
+        # Read again after the first write, so that of two entries that start together
+        # at least one discovers the other.
+        self._on_hosts(await self._rows.hosts())
+        await self._rows.renew(self._host)
+        if is_first:
+            self._on_hosts(await self._rows.hosts())
+
     async def _wait_for_next_renewal(self) -> None:
         try:
             async with asyncio.timeout(_with_jitter(_RENEW_INTERVAL_S)):
--- a/gentianhoist/fleet/_table_follower.py
+++ b/gentianhoist/fleet/_table_follower.py
@@ -22,7 +22,12 @@
     PeerEntries,
     TableCopy,
 )
-from gentianhoist.store import StoreUnavailable, StoreVersion
+from gentianhoist.store import (
+    StoreCallCause,
+    StoreUnavailable,
+    StoreVersion,
+    store_calls_caused_by,
+)
 from gentianhoist.telemetry import DecisionLog
 
 __all__ = [
@@ -197,7 +202,8 @@
         now_s = self._clock.monotonic_s()
         since = self._poll_since_version
         if since is None or now_s - self._last_snapshot_s > self._snapshot_interval_s:
-            page = await self._feed.read(self._policy.answer_timeout_s)
+            with store_calls_caused_by(self._snapshot_cause):
+                page = await self._feed.read(self._policy.answer_timeout_s)
             self._check_history(page)
             self._record_store_regained(page.version)
             self._take_snapshot(page)
@@ -208,6 +214,12 @@
             self._apply_changes(self._copy.apply_changes(page.rows, page.version))
         self._poll_since_version = page.version
 
+    @property
+    def _snapshot_cause(self) -> StoreCallCause:
+        if self._failures:
+            return StoreCallCause.SNAPSHOT_RETRY
+        return StoreCallCause.SNAPSHOT
+
     def _take_snapshot(self, page: FeedPage) -> None:
         before = self._copy.version
         self._copy.replace(page, self._clock.monotonic_s())
@@ -266,9 +278,10 @@
 
     async def _poll_changes(self, since: StoreVersion) -> FeedPage:
         wait_s = self._policy.long_poll_s
-        page = await self._feed.changes(
-            since, wait_s, wait_s + self._policy.answer_timeout_s
-        )
+        with store_calls_caused_by(StoreCallCause.LONG_POLL):
+            page = await self._feed.changes(
+                since, wait_s, wait_s + self._policy.answer_timeout_s
+            )
         self._check_history(page)
         if page.version.history != since.history:
             # What has a number up to the one asked for is missing from the page.
--- a/gentianhoist/gateway/_adapter.py
+++ b/gentianhoist/gateway/_adapter.py
@@ -24,6 +24,7 @@
 )
 from gentianhoist.http1 import CallerRequest
 from gentianhoist.quarantine import QuarantineRows
+from gentianhoist.store import StoreCallCounter
 
 __all__ = ["GatewayAdapter", "GatewaySettings", "OperatorView"]
 
@@ -100,6 +101,10 @@
     entry_rows: EntryRows
     quarantine_rows: QuarantineRows
 
+    def count_store_calls(self, counter: StoreCallCounter) -> None:
+        """Count all further calls to the store with the given counter."""
+        ...
+
     def decode_call(self, request: CallerRequest) -> Call:
         """Decode a caller's request.
 
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -82,6 +82,7 @@
         self._log = log
         self._clock = clock or SystemClock()
         self._metrics = EntryMetrics()
+        adapter.count_store_calls(self._metrics)
         self._state = DispatchState(settings.dispatch_policy, host=settings.host)
         self._operator_rows: dict[str, FeedRow] = {}
         self._draining = False
--- a/gentianhoist/quarantine/_record_store.py
+++ b/gentianhoist/quarantine/_record_store.py
@@ -19,9 +19,11 @@
 )
 from gentianhoist.store import (
     ConditionFailed,
+    StoreCallCause,
     StoreInDoubt,
     StoreUnavailable,
     StoreVersion,
+    store_calls_caused_by,
 )
 
 __all__ = ["RecordStore"]
@@ -65,6 +67,8 @@
         self._stored: dict[str, _StoredRecord] = {}
         # Time on the monotonic clock from which a record is to be written, by key.
         self._write_from_s: dict[str, float] = {}
+        # Keys whose last write failed.
+        self._failed: set[str] = set()
         self._is_write_due = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -128,7 +132,10 @@
         if stored is None or not stored.record.is_same_change(replaces):
             return "the store has another record"
         try:
-            await self._rows.write(record.key, encode_record(record), stored.version)
+            with store_calls_caused_by(StoreCallCause.QUARANTINE):
+                await self._rows.write(
+                    record.key, encode_record(record), stored.version
+                )
         except _STORE_ERRORS as error:
             return repr(error)
         return None
@@ -139,7 +146,8 @@
         if stored is None or not stored.record.is_same_change(record):
             return
         try:
-            await self._rows.remove(record.key, stored.version)
+            with store_calls_caused_by(StoreCallCause.QUARANTINE):
+                await self._rows.remove(record.key, stored.version)
         except _STORE_ERRORS as error:
             self._log.record(
                 "quarantine_not_removed", segment=record.key, reason=repr(error)
@@ -172,21 +180,32 @@
         stored = self._stored.get(segment)
         known = None if stored is None else stored.record
         if record is None or not record.is_later_than(known):
-            self._write_from_s.pop(segment, None)
+            self._forget_write(segment)
             return True
         version = _NO_ROW if stored is None else stored.version
+        is_retry = segment in self._failed
+        cause = (
+            StoreCallCause.QUARANTINE_RETRY if is_retry else StoreCallCause.QUARANTINE
+        )
         try:
-            await self._rows.write(segment, encode_record(record), version)
+            with store_calls_caused_by(cause):
+                await self._rows.write(segment, encode_record(record), version)
         except _STORE_ERRORS as error:
             # After a conflict the feed brings the row of the other entry.
+            self._failed.add(segment)
             self._log.record(
                 "quarantine_not_written", segment=segment, reason=repr(error)
             )
             return False
+        self._failed.discard(segment)
         if self._current(segment) == record:
-            self._write_from_s.pop(segment, None)
+            self._forget_write(segment)
         return True
 
+    def _forget_write(self, segment: str) -> None:
+        self._write_from_s.pop(segment, None)
+        self._failed.discard(segment)
+
 
 def _decode(row: FeedRow) -> QuarantineRecord | None:
     if row.value is None:
--- a/gentianhoist/store/__init__.py
+++ b/gentianhoist/store/__init__.py
@@ -4,6 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from gentianhoist.store._call_cause import (
+    StoreCallCause,
+    StoreCallCounter,
+    StoreCallOutcome,
+    current_store_call_cause,
+    store_calls_caused_by,
+)
 from gentianhoist.store._history import HistoryMonitor, HistoryStart
 from gentianhoist.store._retry import transact_with_retry
 from gentianhoist.store.core import (
@@ -36,14 +43,19 @@
     "ListedInstance",
     "Put",
     "Row",
+    "StoreCallCause",
+    "StoreCallCounter",
+    "StoreCallOutcome",
     "StoreInDoubt",
     "StoreUnavailable",
     "StoreVersion",
     "TableClient",
     "Transaction",
+    "current_store_call_cause",
     "join_version",
     "new_transaction_id",
     "split_version",
+    "store_calls_caused_by",
     "transact_with_retry",
 ]
 
--- a/gentianhoist/telemetry/_exposition.py
+++ b/gentianhoist/telemetry/_exposition.py
@@ -10,6 +10,8 @@
     generate_latest,
 )
 
+from gentianhoist.store import StoreCallCause, StoreCallOutcome
+
 __all__ = ["EntryMetrics"]
 
 _BUCKETS_S = (0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 1.5, 2.5, 5.0, 10.0, 20.0)
@@ -41,9 +43,9 @@
             registry=registry,
         )
         self._store_calls = Counter(
-            "entry_store_calls",
-            "Calls to the platform's store, by call and outcome.",
-            ["call", "outcome"],
+            "gentianhoist_store_calls",
+            "Calls to the platform's store, by table, cause and outcome.",
+            ["table", "cause", "outcome"],
             registry=registry,
         )
         self._configuration_version = Gauge(
@@ -143,14 +145,11 @@
         self._held_segments.set(segments)
         self._held_requests.set(requests)
 
-    def record_store_call(self, call: str, outcome: str) -> None:
-        """Count a finished call to the platform's store.
-
-        Args:
-            call: Name of the call.
-            outcome: Outcome of the call.
-        """
-        self._store_calls.labels(call, outcome).inc()
+    def record_store_call(
+        self, table: str, cause: StoreCallCause, outcome: StoreCallOutcome
+    ) -> None:
+        """Count a call to the platform's store; see `StoreCallCounter`."""
+        self._store_calls.labels(table, cause.value, outcome.value).inc()
 
     def set_gauges(
         self,
--- a/tests/fleet/test_entry_registry.py
+++ b/tests/fleet/test_entry_registry.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from gentianhoist.fleet import EntryRegistry
-from gentianhoist.store import StoreUnavailable
+from gentianhoist.store import StoreUnavailable, current_store_call_cause
 from gentianhoist.telemetry import DecisionLog
 
 # An entry reads the rows before and after its first write.
@@ -17,6 +17,7 @@
         self.rows: list[str] = []
         self.failures = 0
         self.reads = 0
+        self.causes: list[str] = []
 
     async def renew(self, host: str) -> None:
         await self._answer()
@@ -31,6 +32,7 @@
         return list(self.rows)
 
     async def _answer(self) -> None:
+        self.causes.append(current_store_call_cause())
         await asyncio.sleep(0.001)
         if self.failures:
             self.failures -= 1
@@ -63,3 +65,10 @@
         await _start(rows, ["a", "b"])
         seen = await _start(rows, ["c"])
         assert {"a", "b"} <= seen["c"]
+
+    # Guards against: the calls of an outage are counted as ordinary ones.
+    async def test_round_after_a_failure_is_a_retry(self):
+        rows = FakeEntryRows()
+        rows.failures = 1
+        await _start(rows, ["a"])
+        assert rows.causes == ["registry", *["registry_retry"] * 3]
--- a/tests/fleet/test_table_follower.py
+++ b/tests/fleet/test_table_follower.py
@@ -9,7 +9,11 @@
     HistoryLost,
     TableFollower,
 )
-from gentianhoist.store import StoreUnavailable, StoreVersion
+from gentianhoist.store import (
+    StoreUnavailable,
+    StoreVersion,
+    current_store_call_cause,
+)
 from gentianhoist.telemetry import DecisionLog
 from tests.virtual_time_loop import VirtualTimeLoop
 
@@ -21,6 +25,7 @@
         self.errors = list(errors)
         self.rows = rows
         self.calls: list[str] = []
+        self.causes: list[str] = []
         self.version = StoreVersion(1, 1)
 
     async def read(self, timeout_s: float) -> FeedPage:
@@ -34,6 +39,7 @@
 
     async def _answer(self, call: str) -> FeedPage:
         self.calls.append(call)
+        self.causes.append(current_store_call_cause())
         await asyncio.sleep(0.004)
         if self.errors:
             raise self.errors.pop(0)
@@ -83,6 +89,16 @@
         applied = []
         _follow(loop, table, 0.02, applied.append)
         assert len(applied) == 1
+        assert table.causes[:2] == ["snapshot", "snapshot_retry"]
+
+    # Guards against: the store's operators see an outage where there is none.
+    def test_snapshots_without_failures_are_no_retries(self, loop):
+        table = FakeTable(StoreUnavailable("lost"))
+        _follow(loop, table, 30.0, lambda rows: None)
+        assert table.causes.count("snapshot_retry") == 1
+        assert table.causes.count("snapshot") >= 2
+        polls = [call for call in table.calls if call == "changes"]
+        assert table.causes.count("long_poll") == len(polls)
 
     def test_backs_off_during_a_long_outage(self, loop):
         table = FakeTable(*(StoreUnavailable("down") for _ in range(1_000)))
--- a/tests/quarantine/test_service.py
+++ b/tests/quarantine/test_service.py
@@ -15,7 +15,13 @@
     TrialResult,
     encode_record,
 )
-from gentianhoist.store import ConditionFailed, StoreUnavailable, StoreVersion
+from gentianhoist.store import (
+    ConditionFailed,
+    StoreCallCause,
+    StoreUnavailable,
+    StoreVersion,
+    current_store_call_cause,
+)
 from gentianhoist.telemetry import DecisionLog, EntryMetrics
 from tests.virtual_time_loop import VirtualTimeLoop
 
@@ -45,6 +51,7 @@
         self.rows: dict[str, FeedRow] = {}
         self.available = True
         self.calls = 0
+        self.causes: list[StoreCallCause] = []
 
     async def write(self, key: str, value: bytes, version: StoreVersion) -> None:
         self._check(key, version)
@@ -56,6 +63,7 @@
 
     def _check(self, key: str, version: StoreVersion) -> None:
         self.calls += 1
+        self.causes.append(current_store_call_cause())
         if not self.available:
             raise StoreUnavailable("down")
         if (self.rows[key].version if key in self.rows else NO_VERSION) != version:
@@ -235,6 +243,9 @@
             entry.rows.available = True
             await asyncio.sleep(1.0)
             assert "dd" in entry.rows.rows
+            # Guards against: retries that are counted as first calls.
+            assert entry.rows.causes[0] is StoreCallCause.QUARANTINE
+            assert set(entry.rows.causes[1:]) == {StoreCallCause.QUARANTINE_RETRY}
 
         run(loop, scenario)
 
