Don't take a response for complete that ends before the request was read

Cause: a response without a length ends with its connection. If the end of the server's data arrived before the reset, the part was passed on as a complete response while the upload was still being written, on buffered routes and on streams, on asyncio and uvloop. A reset alone was told before this change too. A status 000 or 099 counted as an informational response, so that the caller got 504 at its deadline; it never got the response.

A status below 100 fails the connection at once. The fixture of the platform tests is now also a context manager, so that a test can run it on uvloop.

--- a/gentianhoist/http1/_client.py
+++ b/gentianhoist/http1/_client.py
@@ -13,6 +13,7 @@
 from typing import NamedTuple, cast
 
 from gentianhoist.http1._input import SlicedInput
+from gentianhoist.http1._peer_close import PeerClose, PeerCloseCheck
 from gentianhoist.http1._response_reader import ResponseReader
 from gentianhoist.http1._responses import (
     Attribute,
@@ -90,7 +91,9 @@
         self._failure_message: str | None = None
         # Set once the connection has ended, while received bytes are still parsed.
         self._lost_message: str | None = None
+        # Whether the server has ended its data, unless it reset the connection.
         self._received_end = False
+        self._peer_close = PeerCloseCheck(self._end_peer_data)
         self._end_timer: asyncio.TimerHandle | None = None
         self._buffered_bytes = 0
         self._sent_requests = 0
@@ -258,9 +261,20 @@
             )
 
     def eof_received(self) -> bool:
-        self._received_end = True
+        self._reuse_forbidden = True
+        if self._transport is not None:
+            self._peer_close.begin(self._transport)
+        return self._peer_close.is_waiting
+
+    def _end_peer_data(self, decision: PeerClose) -> None:
+        """Take the end of the server's data once it is known what it means."""
+        if decision is PeerClose.BROKEN:
+            self._lost_message = "connection ended before the request was read"
+        else:
+            self._received_end = True
         self._end_input()
-        return False
+        if self._transport is not None:
+            self._transport.abort()
 
     def _end_input(self) -> None:
         """End the response or fail, if all bytes of a connection that ended are parsed.
@@ -284,7 +298,11 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
         self._input.detach()
-        self._lost_message = f"connection lost: {exc!r}" if exc else "connection closed"
+        self._peer_close.cancel()
+        if self._lost_message is None:
+            self._lost_message = (
+                f"connection lost: {exc!r}" if exc else "connection closed"
+            )
         self._end_input()
 
     # Methods of ResponseSink, for the reader of responses.
@@ -342,6 +360,7 @@
     def _fail(self, message: str) -> None:
         self._input.close()
         self._cancel_end_timer()
+        self._peer_close.cancel()
         if self._failure_message is None:
             self._failure_message = message
         self._wake_reader()
--- a/gentianhoist/http1/_response_reader.py
+++ b/gentianhoist/http1/_response_reader.py
@@ -44,6 +44,7 @@
 # Requests of the connection whose second responses are recognised inside a body.
 _MAX_EARLIER_REQUESTS = 16
 _MAX_STRAY_BYTES = 4 * 1024
+_FIRST_STATUS = 100
 _FIRST_FINAL_STATUS = 200
 _HEAD_END = b"\r\n\r\n"
 
@@ -394,6 +395,9 @@
         self._in_headers = False
         assert self._parser is not None
         status = self._parser.get_status_code()
+        if status < _FIRST_STATUS and self._phase is _Phase.HEAD:
+            # It is no informational response either, after which another one comes.
+            raise ValueError(f"{status:03} is no status code")
         if status < _FIRST_FINAL_STATUS or self._phase is not _Phase.HEAD:
             return
         self._overhead_bytes = 0
--- a/tests/platform_adapter/conftest.py
+++ b/tests/platform_adapter/conftest.py
@@ -1,6 +1,8 @@
 """Fixture of a small platform with one entry, all in the test process."""
 
 import asyncio
+from collections.abc import AsyncGenerator
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -122,20 +124,40 @@
     return settings, gateway
 
 
-@pytest.fixture
-async def deployment(unused_tcp_port_factory, session):
+@asynccontextmanager
+async def running_deployment(
+    session: aiohttp.ClientSession,
+    ports: list[int],
+    configuration: dict,
+    servers: int = 2,
+) -> AsyncGenerator[Deployment, None]:
+    """Run a store, servers and one entry on the running event loop.
+
+    Args:
+        session: HTTP client of the callers.
+        ports: Ports of every entry, see `Deployment`.
+        configuration: The operators' configuration.
+        servers: Number of servers of each service.
+    """
     store = StoreStandin()
     await store.start()
-    ports = [unused_tcp_port_factory() for _ in range(4)]
-    running_deployment = Deployment(store, session, ports)
-    store.put("op", "config", operator_configuration(7))
-    for number in range(2):
-        await running_deployment.add_server(f"e{number}", "engines")
-        await running_deployment.add_server(f"d{number}", "desk")
-    await running_deployment.add_entry("127.0.0.1")
-    yield running_deployment
-    for gateway in running_deployment.gateways.values():
+    deployment = Deployment(store, session, ports)
+    store.put("op", "config", configuration)
+    for number in range(servers):
+        await deployment.add_server(f"e{number}", "engines")
+        await deployment.add_server(f"d{number}", "desk")
+    await deployment.add_entry("127.0.0.1")
+    yield deployment
+    for gateway in deployment.gateways.values():
         await gateway.close()
-    for server in running_deployment.servers.values():
+    for server in deployment.servers.values():
         await server.close()
     await store.close()
+
+
+@pytest.fixture
+async def deployment(unused_tcp_port_factory, session):
+    ports = [unused_tcp_port_factory() for _ in range(4)]
+    configuration = operator_configuration(7)
+    async with running_deployment(session, ports, configuration) as deployment:
+        yield deployment
