--- a/gentianhoist/placement/__init__.py
+++ b/gentianhoist/placement/__init__.py
@@ -10,6 +10,7 @@
     AffectedRequest,
     Commitment,
     CommitmentLedger,
+    CommitmentListener,
     CommittedLoad,
 )
 from gentianhoist.placement._model import (
@@ -24,6 +25,7 @@
     PlacementQueue,
     PlacementRefused,
     QueuedRequest,
+    QueueGate,
     QueueOrder,
     RefusalCause,
     UnplacedReason,
@@ -58,6 +60,7 @@
     "ColdStartBudget",
     "Commitment",
     "CommitmentLedger",
+    "CommitmentListener",
     "AffectedRequest",
     "Demand",
     "CommittedLoad",
@@ -74,6 +77,7 @@
     "PlacementQueue",
     "PlacementRule",
     "PlacementRuleName",
+    "QueueGate",
     "QueueOrder",
     "PlacementRefused",
     "RefusalCause",
--- a/gentianhoist/placement/_ledger.py
+++ b/gentianhoist/placement/_ledger.py
@@ -8,11 +8,17 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from gentianhoist.fleet import EngineProfile
 
-__all__ = ["Commitment", "CommitmentLedger", "AffectedRequest", "CommittedLoad"]
+__all__ = [
+    "Commitment",
+    "CommitmentLedger",
+    "CommitmentListener",
+    "AffectedRequest",
+    "CommittedLoad",
+]
 
 
 class Commitment(NamedTuple):
@@ -152,10 +158,13 @@
             item.decode_start_s = now_s
             self._update_totals()
 
-    def remove(self, id_: str) -> None:
-        """Remove the commitment of a request that has ended."""
-        if self._tracked.pop(id_, None) is not None:
-            self._update_totals()
+    def remove(self, id_: str) -> Commitment | None:
+        """Remove and return the commitment of a request that has ended."""
+        item = self._tracked.pop(id_, None)
+        if item is None:
+            return None
+        self._update_totals()
+        return item.commitment
 
     def expired(self, now_s: float) -> list[str]:
         """Return the identifiers of commitments whose end was not reported in time."""
@@ -187,6 +196,18 @@
         ]
 
 
+class CommitmentListener(Protocol):
+    """Is told of each change of the ledger, so that it can keep totals."""
+
+    def commitment_added(self, commitment: Commitment, now_s: float) -> None:
+        """Take in a commitment that was added."""
+        ...
+
+    def commitment_removed(self, commitment: Commitment) -> None:
+        """Take in a commitment that was removed."""
+        ...
+
+
 class CommitmentLedger:
     """Commitments of all engines, from this entry and from its peers.
 
@@ -196,12 +217,17 @@
     def __init__(self) -> None:
         self._engines: dict[str, CommittedLoad] = {}
         self._servers_by_id: dict[str, list[str]] = {}
+        self._listener: CommitmentListener | None = None
 
     @property
     def loads(self) -> Mapping[str, CommittedLoad]:
         """Loads of the engines that have work, by their identifiers."""
         return self._engines
 
+    def set_listener(self, listener: CommitmentListener) -> None:
+        """Set the receiver of all further changes."""
+        self._listener = listener
+
     def load(self, server_id: str) -> CommittedLoad:
         """Return the load of one engine."""
         load = self._engines.get(server_id)
@@ -215,6 +241,8 @@
             return
         server_ids.append(server_id)
         self._engines.setdefault(server_id, CommittedLoad()).add(commitment, now_s)
+        if self._listener is not None:
+            self._listener.commitment_added(commitment, now_s)
 
     def record_first_event(self, id_: str, now_s: float) -> None:
         """Move the request from prefill to decode on all its engines."""
@@ -225,9 +253,11 @@
         """Remove the commitments of a request that has ended on all its engines."""
         for server_id in self._servers_by_id.pop(id_, ()):
             load = self._engines[server_id]
-            load.remove(id_)
+            removed = load.remove(id_)
             if not load.ids:
                 del self._engines[server_id]
+            if self._listener is not None and removed is not None:
+                self._listener.commitment_removed(removed)
 
     def expire(self, now_s: float) -> list[str]:
         """Remove expired commitments and return their identifiers, sorted."""
--- a/gentianhoist/placement/_queue.py
+++ b/gentianhoist/placement/_queue.py
@@ -5,8 +5,9 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum, StrEnum
+from typing import Protocol
 
 from gentianhoist.capacity import FairShares
 from gentianhoist.placement._late_drain import LateDrain
@@ -18,6 +19,7 @@
     "PlacementRefused",
     "RefusalCause",
     "UnplacedReason",
+    "QueueGate",
     "QueuedRequest",
     "STOP_REFUSAL",
 ]
@@ -67,11 +69,13 @@
         reason: Reason, for the log and the caller.
         retry_after_s: Expected seconds until capacity is available again.
         cause: What the request lacks.
+        is_spread: Whether the times of other refusals were taken into account.
     """
 
     reason: str
     retry_after_s: float
     cause: RefusalCause = RefusalCause.CAPACITY
+    is_spread: bool = False
 
 
 # Refusal of a request that other entries can still serve.
@@ -106,6 +110,7 @@
             wait by choice.
         service_s: Expected seconds from its placement to the end of its response.
         is_entry_stopping: Whether `latest_start_s` is that early since the entry stops.
+        may_have_run: Whether a server may have run it, so that it can't be refused.
     """
 
     demand: Demand
@@ -122,6 +127,7 @@
     lacks_capacity: bool = False
     service_s: float = 0.0
     is_entry_stopping: bool = False
+    may_have_run: bool = False
 
     def end_by(self, end_s: float) -> None:
         """Let it start only if its response ends before the entry does.
@@ -137,6 +143,16 @@
         """Whether its first event will be late in any case."""
         return now_s > self.on_time_until_s
 
+    def overdue_ratio(self, now_s: float) -> float:
+        """Elapsed fraction of the time from which it is late until it can't be served.
+
+        It is 0 while it can be on time.
+        """
+        if not self.is_late(now_s):
+            return 0.0
+        late_s = now_s - self.on_time_until_s
+        return late_s / max(late_s, self.latest_start_s - self.on_time_until_s)
+
     def order(
         self, now_s: float, over_share: frozenset[str] = frozenset()
     ) -> tuple[int, bool, float]:
@@ -172,15 +188,45 @@
         return (self.priority, is_late, slack_s * size_factor / self.demand.value)
 
 
+class QueueGate(Protocol):
+    """Is told what waits, and may hold it back in favour of requests elsewhere."""
+
+    def add(self, request: QueuedRequest) -> None:
+        """Take in a request that waits from now on."""
+        ...
+
+    def remove(self, request: QueuedRequest) -> None:
+        """Take in that a request no longer waits."""
+        ...
+
+    def holds(self, request: QueuedRequest, now_s: float) -> bool:
+        """Whether a request must not be placed now."""
+        ...
+
+    def over_share(self, now_s: float) -> frozenset[str] | None:
+        """Organisations over their share, or None to go by this entry's placements."""
+        ...
+
+    def retry_after_s(self, request: QueuedRequest, now_s: float) -> float | None:
+        """Seconds until a refused caller should retry, or None if it isn't known."""
+        ...
+
+
 class PlacementQueue:
     """Requests that wait for placement, tried again when engine loads change.
 
     Args:
         order: Order in which requests are placed.
+        gate: Holds requests back, if any; only with `QueueOrder.BY_VALUE`.
     """
 
-    def __init__(self, order: QueueOrder = QueueOrder.BY_VALUE) -> None:
+    def __init__(
+        self,
+        order: QueueOrder = QueueOrder.BY_VALUE,
+        gate: QueueGate | None = None,
+    ) -> None:
         self._order = order
+        self._gate = gate
         self._queued: list[QueuedRequest] = []
         self._shares = FairShares()
         self._late_drain = LateDrain()
@@ -217,7 +263,7 @@
             return True
         if self._order is not QueueOrder.BY_VALUE:
             return False
-        return organisation not in self._shares.organisations_over_share(now_s)
+        return organisation not in self._over_share(now_s)
 
     def charge(self, organisation: str, tokens: int, now_s: float) -> None:
         """Charge placed work to its organisation, whether it was queued or not.
@@ -234,6 +280,8 @@
         """Add a request to the queue."""
         request.end_by(self._end_s)
         self._queued.append(request)
+        if self._gate is not None:
+            self._gate.add(request)
 
     def end_by(self, end_s: float) -> None:
         """Place no request any more whose response would end later.
@@ -249,6 +297,8 @@
         """Remove a request that was placed, refused or cancelled."""
         if request in self._queued:
             self._queued.remove(request)
+            if self._gate is not None:
+                self._gate.remove(request)
 
     def place_waiting(self, now_s: float) -> None:
         """Refuse the requests that are too late and place those that fit now."""
@@ -256,7 +306,7 @@
             return
         for request in list(self._queued):
             if now_s >= request.latest_start_s:
-                self._settle(request, _late_refusal(request))
+                self._refuse(request, _late_refusal(request), now_s)
         self._refuse_hopeless(now_s)
         match self._order:
             case QueueOrder.FIRST_COME:
@@ -274,7 +324,7 @@
     def _place_by_value(self, now_s: float) -> None:
         smallest_unplaced_tokens: float = float("inf")
         rate_limited_groups: set[str] = set()
-        over_share = self._shares.organisations_over_share(now_s)
+        over_share = self._over_share(now_s)
         sorted_requests = sorted(
             self._queued, key=lambda request: request.order(now_s, over_share)
         )
@@ -290,6 +340,9 @@
                 continue
             if request.group in rate_limited_groups or now_s < request.next_try_s:
                 continue
+            if self._is_held(request, now_s):
+                request.lacks_capacity = True
+                continue
             tries += 1
             match request.try_place():
                 case UnplacedReason.RATE_LIMITED:
@@ -323,10 +376,30 @@
         for request in late:
             wait_s = self._late_drain.expected_wait_s(ahead, now_s)
             if now_s + wait_s > request.latest_start_s:
-                self._settle(request, _hopeless_refusal(request, wait_s))
+                self._refuse(request, _hopeless_refusal(request, wait_s), now_s)
             else:
                 ahead += 1
 
+    def _over_share(self, now_s: float) -> frozenset[str]:
+        """Organisations over their share, in the fleet or else at this entry."""
+        names = None if self._gate is None else self._gate.over_share(now_s)
+        return self._shares.organisations_over_share(now_s) if names is None else names
+
+    def _is_held(self, request: QueuedRequest, now_s: float) -> bool:
+        # A token that a request leaves would go to the next one.
+        if self._gate is None or request.rate_limited_since_s is not None:
+            return False
+        return self._gate.holds(request, now_s)
+
+    def _refuse(
+        self, request: QueuedRequest, refused: PlacementRefused, now_s: float
+    ) -> None:
+        if self._gate is not None and refused.cause is RefusalCause.CAPACITY:
+            retry_after_s = self._gate.retry_after_s(request, now_s)
+            if retry_after_s is not None:
+                refused = replace(refused, retry_after_s=retry_after_s, is_spread=True)
+        self._settle(request, refused)
+
     def _settle(
         self, request: QueuedRequest, result: Placement | PlacementRefused
     ) -> None:
