Place prompts by the use of the whole fleet where several organisations call

Cause: the decisions of the package admission were not used.

Change: the prompt placer asks for a decision at arrival, the placement queue for each waiting prompt, and entries exchange what waits (OrganisationDemand). It acts only where API keys of more than one organisation are configured and at least three quarters of the known entries are heard. Log lines admission and admission_mode, fields of placed, and three metrics.

Evidence: tests/admission, tests/dispatch, tests/placement, tests/peers, tests/fleet, tests/telemetry.

--- a/gentianhoist/admission/__init__.py
+++ b/gentianhoist/admission/__init__.py
@@ -19,6 +19,7 @@
     AdmissionMode,
     FleetAdmission,
     FleetView,
+    GroupSlots,
     applicant_of,
 )
 
@@ -33,6 +34,7 @@
     "FleetAdmission",
     "FleetView",
     "GroupAdmission",
+    "GroupSlots",
     "OrganisationDemand",
     "OrganisationUsage",
     "RefuseNow",
--- a/gentianhoist/admission/_group.py
+++ b/gentianhoist/admission/_group.py
@@ -145,6 +145,11 @@
         """Slots of the server group at the last update."""
         return self._slots
 
+    @property
+    def occupied_ratio(self) -> float:
+        """Fraction of the slots that all entries have in use."""
+        return self.usage.total_in_use / self._slots if self._slots else 0.0
+
     @property
     def organisations_over_share(self) -> frozenset[str]:
         """Organisations whose next request would exceed their share."""
@@ -159,8 +164,7 @@
         usage = self.usage
         usage.reports.expire(now_s)
         self._slots = slots
-        occupied_ratio = usage.total_in_use / slots if slots else 0.0
-        self._drain.update(usage.ended, occupied_ratio, now_s)
+        self._drain.update(usage.ended, self.occupied_ratio, now_s)
         demands: dict[str, float] = dict(usage.demands())
         for name, per_s in usage.arrivals_per_s(now_s).items():
             arrivals = expected_arrivals(per_s)
@@ -232,9 +236,7 @@
         on_time_wait_s = self._requests_ahead(name, on_time_only=True) / fair_per_s
         if on_time_wait_s <= min(applicant.on_time_s, applicant.slack_s):
             return WaitForSlot(on_time_wait_s)
-        late_per_s = drain_per_s - self._mix.on_time_per_s(now_s)
-        late_per_s = max(late_per_s, _MIN_LATE_RATIO * drain_per_s)
-        late_wait_s = self._requests_ahead(name) / late_per_s
+        late_wait_s = self._requests_ahead(name) / self._late_drain_per_s(now_s)
         if late_wait_s <= applicant.slack_s:
             return WaitForSlot(late_wait_s)
         retry_after_s = self.retry_after_s(name, entries, now_s)
@@ -267,6 +269,18 @@
     def _drain_per_s(self) -> float:
         return self._drain.per_s(self.usage.total_in_use, self.usage.service_s)
 
+    def _late_drain_per_s(self, now_s: float) -> float:
+        """Slots per second that requests on time leave to late ones.
+
+        Until slots have been in use for a while, placements have filled the free ones,
+        and don't tell what is left.
+        """
+        drain_per_s = self._drain_per_s
+        if not self._drain.is_measured:
+            return drain_per_s
+        left_per_s = drain_per_s - self._mix.on_time_per_s(now_s)
+        return max(left_per_s, _MIN_LATE_RATIO * drain_per_s)
+
     def _is_over_share(self, organisation: str) -> bool:
         """Whether one more request of an organisation exceeds its share.
 
--- a/gentianhoist/admission/core.py
+++ b/gentianhoist/admission/core.py
@@ -22,7 +22,7 @@
 from gentianhoist.admission._messages import MAX_REPORTED, OrganisationDemand
 from gentianhoist.placement import Commitment, QueuedRequest
 
-__all__ = ["AdmissionMode", "FleetAdmission", "FleetView", "applicant_of"]
+__all__ = ["AdmissionMode", "FleetAdmission", "FleetView", "GroupSlots", "applicant_of"]
 
 _UPDATE_INTERVAL_S = 0.02
 # Part of the known entries that have to be heard from, so that the use is known.
@@ -38,6 +38,18 @@
     FEW_ENTRIES_HEARD = "few_entries_heard"
 
 
+class GroupSlots(NamedTuple):
+    """Slots of the engines of a server group that may get requests.
+
+    Attributes:
+        total: Slots in use there, and free ones that may be used now.
+        in_use: Slots in use there.
+    """
+
+    total: int
+    in_use: int
+
+
 class FleetView(Protocol):
     """What an entry knows of the engines and the configuration."""
 
@@ -54,8 +66,8 @@
         """Server group of an engine; empty if it isn't known."""
         ...
 
-    def slots(self, group: str, now_s: float) -> int:
-        """Slots of a server group that are in use, or may be used now."""
+    def slots(self, group: str, now_s: float) -> GroupSlots:
+        """Slots of the engines of a server group that may get requests."""
         ...
 
 
@@ -126,7 +138,10 @@
             group.usage.set_own_on_time(
                 Counter(item.organisation for item in self._on_time(name, now_s))
             )
-            group.update(self._fleet.slots(name, now_s), now_s)
+            slots = self._fleet.slots(name, now_s)
+            # Those on engines that get no more requests are in use until they end.
+            elsewhere = max(0, group.usage.total_in_use - slots.in_use)
+            group.update(slots.total + elsewhere, now_s)
         return group
 
     # Decisions on requests.
--- a/gentianhoist/dispatch/_context.py
+++ b/gentianhoist/dispatch/_context.py
@@ -7,6 +7,7 @@
 
 from gentianhoist.backoff import PauseNamed, PauseUnreadable, ServerNotice
 from gentianhoist.clocks import Clock
+from gentianhoist.dispatch._admission import AdmissionControl
 from gentianhoist.dispatch._interfaces import Call, KvReservationClient, ServerCodec
 from gentianhoist.dispatch._queue_scheduler import QueueScanScheduler
 from gentianhoist.dispatch._request import Request
@@ -56,6 +57,7 @@
         self.log = log
         self.metrics = metrics
         self.quarantine = quarantine
+        self.admission = AdmissionControl(state.admission, clock, log, metrics)
         self.queue_scheduler = QueueScanScheduler(state.queue, clock)
         self.rate_limits = RateLimitExchange(
             state.rate_limits, peers, clock, log, self.queue_scheduler.request_scan
--- a/gentianhoist/dispatch/_prompt_placer.py
+++ b/gentianhoist/dispatch/_prompt_placer.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 
+from gentianhoist.admission import RefuseNow, ServeNow
 from gentianhoist.dispatch._context import DispatchContext
 from gentianhoist.dispatch._engine_candidates import (
     EngineCandidates,
@@ -13,9 +14,10 @@
 )
 from gentianhoist.dispatch._kv_reserver import KvReserver, ReservedPlacement
 from gentianhoist.dispatch._placement_constraints import PlacementConstraints
+from gentianhoist.dispatch._prompt_estimates import PromptEstimates
 from gentianhoist.dispatch._request import Request
 from gentianhoist.exceptions import ErrorKind, HoistError
-from gentianhoist.fleet import BackendServer, EngineProfile
+from gentianhoist.fleet import BackendServer
 from gentianhoist.placement import (
     GANG,
     ONE_ENGINE,
@@ -36,30 +38,18 @@
 
 __all__ = ["PromptPlacer"]
 
-_BASE_VALUE = 1.0
-_PROMPT_TOKENS_PER_VALUE = 10_000
-_SHORT_PROMPT_URGENCY = 3
-_LONG_PROMPT_URGENCY = 6
-_LONG_PROMPT_TOKENS = 30_000
-_MIN_DECODE_STEP_S = 0.001
-# Engines assumed to share the prefill of a prompt, to estimate its minimum duration.
-_TYPICAL_PREFILL_ENGINES = 4
 # Prefill time above which an unplaced prompt is retried at the longer interval.
 _LONG_PREFILL_THRESHOLD_S = 0.15
-# Seconds between the expected first event and the caller's disconnect without one.
-_NO_EVENT_MARGIN_S = 0.3
 _SHORT_PREFILL_RETRY_INTERVAL_S = 0.01
 _LONG_PREFILL_RETRY_INTERVAL_S = 0.1
 # Delay before other engines are tried after a refused KV reservation.
 _RESERVE_RETRY_DELAY_S = 0.05
 _MAX_LOGGED_SEGMENTS = 8
+_FULL_RETRY_AFTER_S = 0.5
 # Fraction of an engine's KV cache from which on a prompt may fit on few engines.
 _LARGE_KV_RATIO = 0.3
 # Longest time that a prompt waits for the rate limits of the engines.
 _MAX_RATE_LIMITED_WAIT_S = 1.0
-# Factor on the expected duration of a response that has to end before the entry does:
-# engines turn slower as they get more requests.
-_STOP_DURATION_RATIO = 1.5
 _ERROR_KINDS = {
     RefusalCause.CAPACITY: ErrorKind.OVERLOADED,
     RefusalCause.RATE_LIMITED: ErrorKind.BACKEND_RATE_LIMITED,
@@ -87,6 +77,9 @@
         self._state = context.state
         self._request = request
         self._constraints = constraints
+        self._estimates = PromptEstimates(context, request, constraints)
+        self._is_arrival_counted = False
+        self._item: QueuedRequest | None = None
         self._kv = KvReserver(context, request)
         self._permit = context.rate_limits.permit(())
         self._loop = asyncio.get_running_loop()
@@ -123,7 +116,7 @@
         now_s = self._context.clock.monotonic_s()
         if not self._state.queue.can_bypass(self._request.organisation_name, now_s):
             return False
-        demand = self._demand()
+        demand = self._estimates.demand()
         servers = [
             other for other in self._constraints.candidates() if other.id != server.id
         ]
@@ -135,7 +128,7 @@
             self._state.policy.placement_rule,
             demand,
             placement,
-            self._slack_until_stop_s(demand),
+            self._estimates.slack_until_stop_s(demand),
         )
 
     def record_first_event(self, reserved: ReservedPlacement, after_s: float) -> None:
@@ -174,16 +167,19 @@
             self._end_commitments(id_)
             self._permit.release()
             raise
-        reserved = ReservedPlacement(id_, placement, self._urgency(), self._permit)
+        reserved = ReservedPlacement(
+            id_, placement, self._estimates.urgency, self._permit
+        )
         self._log_placed(reserved)
         return reserved
 
     async def _place_or_wait(self, id_: str) -> Placement:
         self._constraints.raise_if_all_pause()
-        item = self._queue_item(id_)
+        item = self._item = self._queue_item(id_)
         ahead = self._state.queue.rate_limited(item.group)
         now_s = self._context.clock.monotonic_s()
-        if self._state.queue.can_bypass(self._request.organisation_name, now_s):
+        may_place_now = self._is_admitted(item)
+        if may_place_now and self._state.queue.can_bypass(item.organisation, now_s):
             placement = UnplacedReason.RATE_LIMITED
             if not ahead:
                 placement = self._try_place(id_)
@@ -192,11 +188,10 @@
             if placement is UnplacedReason.RATE_LIMITED:
                 self._limit_wait(item, ahead)
         if self._state.queue.is_full:
-            raise self._refusal_error(
-                PlacementRefused("the queue for engines is full", 0.5)
-            )
+            raise self._refusal_error(self._full_refusal(item))
         self._state.queue.add(item)
         self._context.queue_scheduler.request_scan()
+        self._context.admission.publish()
         self._context.log.record(
             "waiting", self._request.call.id, queue=len(self._state.queue)
         )
@@ -210,6 +205,34 @@
             raise self._refusal_error(result)
         return result
 
+    def _is_admitted(self, item: QueuedRequest) -> bool:
+        """Whether a prompt may be placed now; otherwise it waits.
+
+        Raises:
+            HoistError: If it can't be placed before its deadline.
+        """
+        if not self._is_arrival_counted:
+            self._is_arrival_counted = True
+            self._context.admission.record_arrival(item.group, item.priority)
+        decision = self._context.admission.decide(item, self._request.call.id)
+        if isinstance(decision, RefuseNow):
+            raise self._refusal_error(
+                PlacementRefused(
+                    "too many requests wait for engines",
+                    decision.retry_after_s,
+                    is_spread=True,
+                )
+            )
+        return isinstance(decision, ServeNow)
+
+    def _full_refusal(self, item: QueuedRequest) -> PlacementRefused:
+        retry_after_s = self._context.admission.retry_after_s(item)
+        return PlacementRefused(
+            "the queue for engines is full",
+            _FULL_RETRY_AFTER_S if retry_after_s is None else retry_after_s,
+            is_spread=retry_after_s is not None,
+        )
+
     def _limit_wait(self, item: QueuedRequest, ahead: int) -> None:
         """Let a prompt wait for rate limits, or refuse it if that would take too long.
 
@@ -240,15 +263,12 @@
         def try_place() -> Placement | UnplacedReason | PlacementRefused:
             return self._try_place(id_, item)
 
-        demand = self._demand()
-        profile = self._profile()
+        demand = self._estimates.demand()
         now_s = self._context.clock.monotonic_s()
-        has_long_prefill = (
-            profile.prefill_s(demand.prompt_tokens) > _LONG_PREFILL_THRESHOLD_S
-        )
+        has_long_prefill = self._estimates.prefill_s(demand) > _LONG_PREFILL_THRESHOLD_S
         item = QueuedRequest(
             demand,
-            now_s + max(0.0, self._slack_s(demand)),
+            now_s + max(0.0, self._estimates.slack_s(demand)),
             self._request.priority,
             try_place,
             self._loop.create_future(),
@@ -257,31 +277,14 @@
             _LONG_PREFILL_RETRY_INTERVAL_S
             if has_long_prefill
             else _SHORT_PREFILL_RETRY_INTERVAL_S,
-            on_time_until_s=now_s + demand.ttft_budget_s - self._min_prefill_s(demand),
-            service_s=self._duration_s(demand, self._min_prefill_s(demand)),
+            on_time_until_s=now_s + self._estimates.on_time_s(demand),
+            service_s=self._estimates.duration_s(
+                demand, self._estimates.min_prefill_s(demand)
+            ),
+            may_have_run=self._request.may_have_run,
         )
         return item
 
-    def _slack_s(self, demand: Demand) -> float:
-        """Seconds it can wait before the caller disconnects or the deadline passes."""
-        now_s = self._loop.time()
-        disconnect_slack_s = (
-            self._request.no_event_deadline_s - now_s - _NO_EVENT_MARGIN_S
-        )
-        decode_slack_s = self._request.remaining_s(now_s) - self._decode_s(demand)
-        return min(disconnect_slack_s, decode_slack_s) - self._min_prefill_s(demand)
-
-    def _slack_until_stop_s(self, demand: Demand) -> float:
-        """Seconds it can wait, and still end before the entry does if that stops."""
-        remaining_s = self._context.shutdown.remaining_s(self._loop.time())
-        duration_s = self._duration_s(demand, self._min_prefill_s(demand))
-        return min(self._slack_s(demand), remaining_s - duration_s)
-
-    def _min_prefill_s(self, demand: Demand) -> float:
-        """Seconds of prefill if several engines share it."""
-        prefill_s = self._profile().prefill_s(demand.prompt_tokens)
-        return prefill_s / _TYPICAL_PREFILL_ENGINES
-
     def _try_place(
         self, id_: str, item: QueuedRequest | None = None
     ) -> Placement | UnplacedReason | PlacementRefused:
@@ -301,7 +304,7 @@
             # They did while the prompt waited in the queue.
             return PlacementRefused(error.message, error.retry_after_s)
         now_s = self._context.clock.monotonic_s()
-        demand = self._demand()
+        demand = self._estimates.demand()
         rule = self._state.policy.placement_rule
         servers = self._constraints.candidates()
         engines = self._engine_candidates(demand, servers, now_s)
@@ -314,11 +317,11 @@
         is_rate_limited = item is not None and item.rate_limited_since_s is not None
         # A token that a prompt leaves goes to the next one, so it can't wait by choice.
         if not is_rate_limited and should_wait(
-            rule, demand, placement, self._slack_until_stop_s(demand)
+            rule, demand, placement, self._estimates.slack_until_stop_s(demand)
         ):
             return UnplacedReason.WORTH_WAITING
         remaining_s = self._context.shutdown.remaining_s(self._loop.time())
-        if self._duration_s(demand, placement.expected_ttft_s) > remaining_s:
+        if self._estimates.duration_s(demand, placement.expected_ttft_s) > remaining_s:
             return STOP_REFUSAL
         for commitment in self._commitments(id_, demand, placement, now_s):
             self._state.ledger.add(commitment, now_s)
@@ -335,7 +338,7 @@
     def _engine_candidates(
         self, demand: Demand, servers: list[BackendServer], now_s: float
     ) -> EngineCandidates:
-        prefill_s = self._profile().prefill_s(demand.prompt_tokens)
+        prefill_s = self._estimates.profile.prefill_s(demand.prompt_tokens)
         is_single = suits_one_engine(demand, prefill_s)
         return shortlisted_candidates(
             self._state,
@@ -353,7 +356,7 @@
         now_s: float,
     ) -> Placement | None:
         rule = self._state.policy.placement_rule
-        profile = self._profile()
+        profile = self._estimates.profile
         rng = self._state.rng
         fleet_load = engines.fleet_load
         candidates = engines.candidates
@@ -372,7 +375,10 @@
         return placement
 
     def _is_large(self, demand: Demand) -> bool:
-        return demand.kv_tokens > _LARGE_KV_RATIO * self._profile().kv_capacity_tokens
+        return (
+            demand.kv_tokens
+            > _LARGE_KV_RATIO * self._estimates.profile.kv_capacity_tokens
+        )
 
     def _commitments(
         self, id_: str, demand: Demand, placement: Placement, now_s: float
@@ -387,7 +393,7 @@
             placement.decode_engine.id,
             False,
             placement.share_prefill_s,
-            self._decode_s(demand),
+            self._estimates.decode_s(demand),
             decode_kv_tokens,
             demand.pause_goal_s,
             demand.value,
@@ -405,49 +411,10 @@
         ]
         return [decode_commitment, *helper_commitments]
 
-    def _demand(self) -> Demand:
-        call = self._request.call
-        waited_s = self._loop.time() - call.received_s
-        return Demand(
-            call.prompt_tokens,
-            call.expected_output_tokens,
-            self._request.route.goal_s - waited_s,
-            self._request.route.pause_goal_s,
-            _BASE_VALUE + call.prompt_tokens / _PROMPT_TOKENS_PER_VALUE,
-        )
-
-    def _decode_s(self, demand: Demand) -> float:
-        return demand.expected_output_tokens * max(
-            _MIN_DECODE_STEP_S, self._profile().decode_step_s
-        )
-
-    def _duration_s(self, demand: Demand, ttft_s: float) -> float:
-        """Seconds until the end of the response that are counted on before a stop.
-
-        A request that may have run can't be refused, so it waits until the stop.
-        """
-        if self._request.may_have_run:
-            return 0.0
-        return _STOP_DURATION_RATIO * (ttft_s + self._decode_s(demand))
-
-    def _profile(self) -> EngineProfile:
-        profile = self._constraints.group.engine
-        if profile is None:
-            raise HoistError(
-                ErrorKind.NO_BACKEND_SERVER,
-                "the server group of the route has no model engines",
-                retry_after_s=0.5,
-            )
-        return profile
-
-    def _urgency(self) -> int:
-        is_long = self._request.call.prompt_tokens >= _LONG_PROMPT_TOKENS
-        return _LONG_PROMPT_URGENCY if is_long else _SHORT_PROMPT_URGENCY
-
     def _refusal_error(self, refused: PlacementRefused) -> HoistError:
         if self._request.may_have_run:
             return HoistError(ErrorKind.BACKEND_FAILED, refused.reason)
-        jitter = 0.5 + self._state.rng.random()
+        jitter = 1.0 if refused.is_spread else 0.5 + self._state.rng.random()
         return HoistError(
             _ERROR_KINDS[refused.cause],
             refused.reason,
@@ -477,6 +444,7 @@
             backlog_s=round(load.backlog_s(now_s), 4),
             directory_age_s=round(self._state.directory.age_s(now_s), 3),
             configuration=self._request.configuration_version,
+            **self._context.admission.placed_fields(self._item),
         )
 
 
--- a/gentianhoist/dispatch/_state.py
+++ b/gentianhoist/dispatch/_state.py
@@ -6,7 +6,9 @@
 import random
 from typing import NamedTuple
 
+from gentianhoist.admission import FleetAdmission
 from gentianhoist.backoff import ServerPauses
+from gentianhoist.dispatch._fleet_slots import FleetSlots
 from gentianhoist.fleet import (
     BackendServer,
     Directory,
@@ -108,6 +110,7 @@
         cold_starts: Limits the requests to cold servers.
         rate_limits: Rate limits that servers name.
         pauses: Pauses that servers name in refusals.
+        admission: Decides by the use of the whole fleet which prompts are placed.
         queue: Prompts that wait for engines.
         outstanding: Number of sent requests that have not ended, by server id.
     """
@@ -124,7 +127,9 @@
         self.cold_starts = ColdStartBudget(phase=self.rng.random())
         self.rate_limits = RateLimits(host, self.rng)
         self.pauses = ServerPauses(self.rng)
-        self.queue = PlacementQueue(policy.queue_order)
+        self.admission = FleetAdmission(FleetSlots(self), self.rng)
+        self.ledger.set_listener(self.admission)
+        self.queue = PlacementQueue(policy.queue_order, self.admission)
         self.outstanding: dict[str, int] = {}
         # Until this entry hears the others, it knows nothing of their choices.
         self._spread = _MAX_SPREAD
@@ -195,6 +200,7 @@
             heard: Entries whose messages arrive now.
             known: Entries that are registered or heard, 0 if that isn't known yet.
         """
+        self.admission.set_heard_entries(heard, known)
         if not known or heard < _MIN_HEARD_RATIO * known:
             self._spread = _MAX_SPREAD
         else:
--- a/gentianhoist/fleet/_routes.py
+++ b/gentianhoist/fleet/_routes.py
@@ -111,6 +111,7 @@
         self.keys_required = keys_required
         self.limits = limits
         self._organisations = dict(organisations)
+        self.organisation_count = len({item.name for item in organisations.values()})
         self._routes_by_host: dict[str, list[Route]] = {}
         for route in routes:
             self._routes_by_host.setdefault(route.host, []).append(route)
--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -130,6 +130,7 @@
         self._peers.set_rate_limits(self._dispatch.rate_limits)
         self._peers.set_leaving(self._dispatch)
         self._peers.set_quotas(self._dispatch.retry_quotas)
+        self._dispatch.admission.connect(self._peers)
         self._dispatcher = Dispatcher(self._dispatch)
         self._caller_server = HttpServer(
             self._serve, lambda: self._state.routing.limits, self._count_unreadable
@@ -393,6 +394,7 @@
             )
             self._state.set_entry_count(known)
             self._update_rate_limits()
+            self._dispatch.admission.tick(now_s)
             self._metrics.set_gauges(
                 self._state.routing.version,
                 len(self._state.directory.servers),
--- a/gentianhoist/telemetry/_exposition.py
+++ b/gentianhoist/telemetry/_exposition.py
@@ -88,6 +88,23 @@
             ["position", "names_request"],
             registry=registry,
         )
+        self._admissions = Counter(
+            "entry_admission_decisions",
+            "Prompts by the decision at their arrival, by the use of the whole fleet.",
+            ["decision"],
+            registry=registry,
+        )
+        self._fleet_admission = Gauge(
+            "entry_fleet_admission",
+            "Whether admission is by the use of the whole fleet.",
+            registry=registry,
+        )
+        self._occupied = Gauge(
+            "entry_occupied_slots_ratio",
+            "Fraction of the slots of a server group that all entries have in use.",
+            ["group"],
+            registry=registry,
+        )
         self._dropped_lines = Gauge(
             "entry_log_lines_dropped", "Log lines dropped.", registry=registry
         )
@@ -138,6 +155,18 @@
         """Count a refusal in which a backend server named a pause."""
         self._server_pauses.inc()
 
+    def record_admission(self, decision: str) -> None:
+        """Count a decision on a prompt at its arrival."""
+        self._admissions.labels(decision).inc()
+
+    def set_fleet_admission(self, is_active: bool) -> None:
+        """Set whether admission is by the use of the whole fleet."""
+        self._fleet_admission.set(is_active)
+
+    def set_occupied(self, group: str, ratio: float) -> None:
+        """Set the fraction of the slots of a server group that is in use."""
+        self._occupied.labels(group).set(ratio)
+
     def set_held(self, *, segments: int, requests: int) -> None:
         """Set the numbers of prompt segments and requests that are held or tried."""
         self._held_segments.set(segments)
--- a/tests/admission/fleet.py
+++ b/tests/admission/fleet.py
@@ -11,6 +11,7 @@
 
 from gentianhoist.admission import (
     FleetAdmission,
+    GroupSlots,
     RefuseNow,
     ServeNow,
     applicant_of,
@@ -55,8 +56,8 @@
     def group_of(self, server_id: str) -> str:
         return "g"
 
-    def slots(self, group: str, now_s: float) -> int:
-        return self.total_slots
+    def slots(self, group: str, now_s: float) -> GroupSlots:
+        return GroupSlots(self.total_slots, self.total_slots)
 
 
 @dataclass
--- a/tests/admission/test_group.py
+++ b/tests/admission/test_group.py
@@ -138,3 +138,8 @@
         assert isinstance(decision, RefuseNow)
         assert decision.retry_after_s > 1.0
         assert isinstance(self._decide(group, "small", 1.0), WaitForSlot)
+
+    def test_waits_where_requests_last_long(self):
+        """Placements that just filled the slots must not count as a lasting load."""
+        group = _group({"a": 2, "b": 2}, slots=4)
+        assert isinstance(self._decide(group, "a", 1.0), WaitForSlot)
--- a/tests/dispatch/fakes.py
+++ b/tests/dispatch/fakes.py
@@ -340,6 +340,7 @@
     timeout_s: float = 4.0,
     goal_s: float = 0.2,
     max_executing_servers: int = 2,
+    organisations: dict[str, str] | None = None,
 ) -> RoutingConfiguration:
     route = Route(
         "r",
@@ -364,7 +365,10 @@
         version,
         [route],
         groups,
-        {"key": Organisation("club")},
+        {
+            key: Organisation(name)
+            for key, name in (organisations or {"key": "club"}).items()
+        },
         keys_required=True,
         limits=RequestLimits(),
     )
