--- a/gentianhoist/admission/_group.py
+++ b/gentianhoist/admission/_group.py
@@ -16,6 +16,7 @@
     expected_arrivals,
     room_for,
 )
+from gentianhoist.admission._turns import FreeSlotTurns
 from gentianhoist.admission._usage import OrganisationUsage
 from gentianhoist.placement import Commitment
 
@@ -128,6 +129,7 @@
         self._mix = ArrivalMix()
         self._drain = DrainRate()
         self._rng = rng
+        self._turns = FreeSlotTurns(rng)
         self._retries: dict[str, RetrySchedule] = {}
         self._slots = 0
         self._shares: dict[str, float] = {}
@@ -194,9 +196,16 @@
         self._mix.record_own(priority, now_s)
 
     def is_held(self, applicant: Applicant, now_s: float) -> bool:
-        """Whether a request leaves the free slots to others."""
-        room = self._room(applicant, self._standing(applicant), now_s)
-        return room > 0 and self._slots - self.usage.total_in_use <= room
+        """Whether a waiting request leaves the free slots to others."""
+        standing = self._standing(applicant)
+        room = self._room(applicant, standing, now_s)
+        free = self._slots - self.usage.total_in_use - room
+        if room > 0 and free <= 0:
+            return True
+        is_within_share = not self._is_over_share(applicant.organisation)
+        own, others = self._contenders(standing, is_within_share)
+        kind = (standing, is_within_share)
+        return not self._turns.take(kind, free, own, others, now_s)
 
     def assess(self, applicant: Applicant, now_s: float) -> Assessment:
         """Return what the decision on a request is based on."""
@@ -321,6 +330,26 @@
         )
         return room_for(before_per_s, self._drain_per_s, self._slots, standing)
 
+    def _contenders(self, standing: Standing, is_within_share: bool) -> tuple[int, int]:
+        """Requests that wait for the same free slots, at this entry and at others.
+
+        Those of organisations over their share don't contend with others, whatever
+        their number is.
+        """
+        usage = self.usage
+        if is_within_share:
+            own = sum(
+                count
+                for name, count in usage.own_waiting.items()
+                if not self._is_over_share(name)
+            )
+            return own, sum(self._reported_within.values())
+        reported = usage.reports.waiting.total()
+        if standing is Standing.LATE:
+            return usage.own_waiting.total(), reported
+        others = round(usage.reports.on_time_ratio * reported)
+        return usage.own_on_time.total(), others
+
     def _requests_ahead(self, organisation: str, *, on_time_only: bool = False) -> int:
         """Place of the next request of an organisation in the max-min order.
 
--- a/gentianhoist/admission/_usage.py
+++ b/gentianhoist/admission/_usage.py
@@ -55,6 +55,11 @@
         """Requests that wait at this entry, by organisation."""
         return self._waiting
 
+    @property
+    def own_on_time(self) -> Counter[str]:
+        """Requests that wait at this entry and can be on time, by organisation."""
+        return self._own_on_time
+
     @property
     def all_waiting(self) -> Counter[str]:
         """Requests that wait at all entries, by organisation."""
--- a/gentianhoist/admission/core.py
+++ b/gentianhoist/admission/core.py
@@ -25,6 +25,8 @@
 __all__ = ["AdmissionMode", "FleetAdmission", "FleetView", "GroupSlots", "applicant_of"]
 
 _UPDATE_INTERVAL_S = 0.02
+# Engines come and go more slowly, and are counted one by one.
+_SLOTS_INTERVAL_S = 0.1
 # Part of the known entries that have to be heard from, so that the use is known.
 _MIN_HEARD_RATIO = 0.75
 _MAX_REPORTED_PRIORITIES = 16
@@ -92,6 +94,7 @@
         self._rng = rng
         self._groups: dict[str, GroupAdmission] = {}
         self._updated_s: dict[str, float] = {}
+        self._counted_s: dict[str, float] = {}
         # Slots by the id of their commitment; helpers take none.
         self._slots: dict[str, _TrackedSlot] = {}
         self._queued: dict[QueuedRequest, None] = {}
@@ -138,10 +141,7 @@
             group.usage.set_own_on_time(
                 Counter(item.organisation for item in self._on_time(name, now_s))
             )
-            slots = self._fleet.slots(name, now_s)
-            # Those on engines that get no more requests are in use until they end.
-            elsewhere = max(0, group.usage.total_in_use - slots.in_use)
-            group.update(slots.total + elsewhere, now_s)
+            group.update(self._slots_of(name, group, now_s), now_s)
         return group
 
     # Decisions on requests.
@@ -254,6 +254,16 @@
             if request.group == name and not request.is_late(now_s):
                 yield request
 
+    def _slots_of(self, name: str, group: GroupAdmission, now_s: float) -> int:
+        """Slots of a server group, counted at longer intervals."""
+        if now_s - self._counted_s.get(name, float("-inf")) < _SLOTS_INTERVAL_S:
+            return group.slots
+        self._counted_s[name] = now_s
+        slots = self._fleet.slots(name, now_s)
+        # Those on engines that get no more requests are in use until they end.
+        elsewhere = max(0, group.usage.total_in_use - slots.in_use)
+        return slots.total + elsewhere
+
     def _group(self, name: str) -> GroupAdmission:
         group = self._groups.get(name)
         if group is None:
--- a/tests/admission/test_core.py
+++ b/tests/admission/test_core.py
@@ -71,6 +71,19 @@
         assert sum(fleet.in_use[200:]) / len(fleet.in_use[200:]) >= 0.75 * 6
 
 
+class TestManyEntries:
+    async def test_entries_dont_take_the_same_slot(self):
+        """Thirty entries hear at once of a free slot, and took it all together."""
+        fleet = EntryFleet(30, 15, 6)
+        capacity_per_s = 15 * 6 / SERVICE_S
+        callers = [Caller("flood", 2.5 * capacity_per_s)]
+        callers += [Caller(f"small-{i}", 0.09 * capacity_per_s) for i in range(5)]
+        results = await fleet.run(callers, 2.5)
+        assert _total(results, "small").on_time_ratio >= 0.9
+        mean_in_use = sum(fleet.in_use[200:]) / len(fleet.in_use[200:])
+        assert mean_in_use >= 0.85 * fleet.view.total_slots
+
+
 class TestWorkConserving:
     async def test_lone_flooder_uses_an_idle_fleet(self):
         """A margin for organisations that don't call would leave slots idle."""
