Let an entry reuse the slots of its own requests at once

Change: the entry whose request has ended uses the slot at once; what it leaves is divided after an interval. Competing requests are counted in max-min order on both sides.

--- a/gentianhoist/admission/_group.py
+++ b/gentianhoist/admission/_group.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import Counter
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -202,10 +203,20 @@
         free = self._slots - self.usage.total_in_use - room
         if room > 0 and free <= 0:
             return True
-        is_within_share = not self._is_over_share(applicant.organisation)
-        own, others = self._contenders(standing, is_within_share)
-        kind = (standing, is_within_share)
-        return not self._turns.take(kind, free, own, others, now_s)
+        usage = self.usage
+        name = applicant.organisation
+        is_late = standing is Standing.LATE
+        here = usage.own_waiting if is_late else usage.own_on_time
+        elsewhere = usage.reports.waiting
+        ratio = 1.0 if is_late else usage.reports.on_time_ratio
+        return not self._turns.take(
+            (standing, name),
+            free,
+            self._contenders(name, here),
+            round(ratio * self._contenders(name, elsewhere)),
+            usage.ended_requests,
+            now_s,
+        )
 
     def assess(self, applicant: Applicant, now_s: float) -> Assessment:
         """Return what the decision on a request is based on."""
@@ -330,42 +341,26 @@
         )
         return room_for(before_per_s, self._drain_per_s, self._slots, standing)
 
-    def _contenders(self, standing: Standing, is_within_share: bool) -> tuple[int, int]:
-        """Requests that wait for the same free slots, at this entry and at others.
-
-        Those of organisations over their share don't contend with others, whatever
-        their number is.
-        """
-        usage = self.usage
-        if is_within_share:
-            own = sum(
-                count
-                for name, count in usage.own_waiting.items()
-                if not self._is_over_share(name)
-            )
-            return own, sum(self._reported_within.values())
-        reported = usage.reports.waiting.total()
-        if standing is Standing.LATE:
-            return usage.own_waiting.total(), reported
-        others = round(usage.reports.on_time_ratio * reported)
-        return usage.own_on_time.total(), others
-
-    def _requests_ahead(self, organisation: str, *, on_time_only: bool = False) -> int:
-        """Place of the next request of an organisation in the max-min order.
+    def _contenders(self, organisation: str, waiting: Counter[str]) -> int:
+        """Requests among those waiting that aren't behind the ones of an organisation.
 
         A slot goes to the organisation that has the least, so a flood is served after
-        the few requests of the others. Late requests come after those on time.
+        the few requests of the others.
         """
         usage = self.usage
-        waiting = usage.waiting_on_time if on_time_only else usage.all_waiting
-        own_waiting = waiting.get(organisation, 0)
-        own_demand = usage.in_use(organisation) + own_waiting + 1
+        own_demand = usage.in_use(organisation) + waiting.get(organisation, 0) + 1
         others = sum(
             min(count, max(0, own_demand - usage.in_use(name)))
             for name, count in waiting.items()
             if name != organisation
         )
-        return others + own_waiting + 1
+        return others + waiting.get(organisation, 0)
+
+    def _requests_ahead(self, organisation: str, *, on_time_only: bool = False) -> int:
+        """Place of the next request of an organisation, late ones after the others."""
+        usage = self.usage
+        waiting = usage.waiting_on_time if on_time_only else usage.all_waiting
+        return self._contenders(organisation, waiting) + 1
 
     def _fair_drain_per_s(
         self, organisation: str, standing: Standing, now_s: float
--- a/gentianhoist/admission/core.py
+++ b/gentianhoist/admission/core.py
@@ -99,6 +99,7 @@
         self._slots: dict[str, _TrackedSlot] = {}
         self._queued: dict[QueuedRequest, None] = {}
         self._reported_groups: set[str] = set()
+        self._id_prefix = ""
         self._heard_entries = 0
         self._known_entries = 0
 
@@ -122,6 +123,10 @@
         """Admission to each server group that has been used."""
         return self._groups
 
+    def set_incarnation(self, incarnation: str) -> None:
+        """Set the name of this run of the entry, with which its commitments begin."""
+        self._id_prefix = f"{incarnation}."
+
     def set_heard_entries(self, heard: int, known: int) -> None:
         """Set how many of the known entries are heard, this one included.
 
@@ -214,7 +219,8 @@
             return
         slot = self._slots.pop(commitment.id, None)
         if slot is not None:
-            self._group(slot.group).usage.remove(slot.organisation)
+            is_own = commitment.id.startswith(self._id_prefix)
+            self._group(slot.group).usage.remove(slot.organisation, is_own=is_own)
 
     # Of the other entries: see `DemandExchange`.
 
--- a/tests/admission/fleet.py
+++ b/tests/admission/fleet.py
@@ -112,6 +112,7 @@
         self._fleet = fleet
         self.number = number
         self.admission = FleetAdmission(fleet.view, fleet.rng)
+        self.admission.set_incarnation(str(number))
         self.admission.set_heard_entries(fleet.entry_count, fleet.entry_count)
         self.ledger = CommitmentLedger()
         self.ledger.set_listener(self.admission)
