Leave urgent requests unaffected by less urgent ones, and split the queue

Cause: the place of a request at its arrival and its turns counted waiting requests of all priority classes, so an urgent one could be refused or held for less urgent ones.

Change: places and turns count what isn't less urgent. A scan decides once for each kind of request. Requests and refusals moved from placement/_queue.py to _queued_request.py.

--- a/gentianhoist/admission/_group.py
+++ b/gentianhoist/admission/_group.py
@@ -209,8 +209,9 @@
         here = usage.own_waiting if is_late else usage.own_on_time
         elsewhere = usage.reports.waiting
         ratio = 1.0 if is_late else usage.reports.on_time_ratio
+        ratio *= usage.reported_urgent_ratio(applicant.priority)
         return not self._turns.take(
-            (standing, name),
+            (standing, name, applicant.priority),
             free,
             self._contenders(name, here),
             round(ratio * self._contenders(name, elsewhere)),
@@ -253,31 +254,32 @@
             return WaitForSlot(0.0)
         name = applicant.organisation
         fair_per_s = self._fair_drain_per_s(name, assessment.standing, now_s)
-        on_time_wait_s = self._requests_ahead(name, on_time_only=True) / fair_per_s
+        on_time_wait_s = self._requests_ahead(applicant, on_time_only=True) / fair_per_s
         if on_time_wait_s <= min(applicant.on_time_s, applicant.slack_s):
             return WaitForSlot(on_time_wait_s)
-        late_wait_s = self._requests_ahead(name) / self._late_drain_per_s(now_s)
+        late_wait_s = self._requests_ahead(applicant) / self._late_drain_per_s(now_s)
         if late_wait_s <= applicant.slack_s:
             return WaitForSlot(late_wait_s)
-        retry_after_s = self.retry_after_s(name, entries, now_s)
+        retry_after_s = self.retry_after_s(applicant, entries, now_s)
         return RefuseNow(late_wait_s, retry_after_s)
 
-    def retry_after_s(self, organisation: str, entries: int, now_s: float) -> float:
+    def retry_after_s(self, applicant: Applicant, entries: int, now_s: float) -> float:
         """Return when a caller that is refused should retry, in seconds.
 
         A request that arrives then is ahead of those that are late by then.
 
         Args:
-            organisation: Organisation of the caller.
+            applicant: The request.
             entries: Number of entries, which retries are divided between.
         """
+        organisation = applicant.organisation
         standing = Standing.WITHIN_SHARE
         if self._is_over_share(organisation):
             standing = Standing.OVER_SHARE
         wait_s = interval_s = 0.0
         fair_per_s = self._fair_drain_per_s(organisation, standing, now_s)
         if fair_per_s > 0.0:
-            ahead = self._requests_ahead(organisation, on_time_only=True)
+            ahead = self._requests_ahead(applicant, on_time_only=True)
             wait_s = ahead / fair_per_s
             interval_s = entries / fair_per_s
         schedule = self._retries.get(organisation)
@@ -356,11 +358,14 @@
         )
         return others + waiting.get(organisation, 0)
 
-    def _requests_ahead(self, organisation: str, *, on_time_only: bool = False) -> int:
-        """Place of the next request of an organisation, late ones after the others."""
+    def _requests_ahead(
+        self, applicant: Applicant, *, on_time_only: bool = False
+    ) -> float:
+        """Expected place of a request, late and less urgent ones after it."""
         usage = self.usage
         waiting = usage.waiting_on_time if on_time_only else usage.all_waiting
-        return self._contenders(organisation, waiting) + 1
+        ratio = usage.urgent_ratio(applicant.priority)
+        return ratio * self._contenders(applicant.organisation, waiting) + 1.0
 
     def _fair_drain_per_s(
         self, organisation: str, standing: Standing, now_s: float
--- a/gentianhoist/admission/_usage.py
+++ b/gentianhoist/admission/_usage.py
@@ -31,6 +31,7 @@
         self._in_use: Counter[str] = Counter()
         self._waiting: Counter[str] = Counter()
         self._own_on_time: Counter[str] = Counter()
+        self._waiting_by_priority: Counter[int] = Counter()
         self._arrivals: dict[str, DecayingRate] = {}
         self._total = 0
         self._ended = EndedRequests()
@@ -133,13 +134,33 @@
         """Set how many requests that wait at this entry can be on time."""
         self._own_on_time = counts
 
-    def add_waiting(self, organisation: str) -> None:
+    def add_waiting(self, organisation: str, priority: int) -> None:
         """Count a request that waits at this entry."""
         self._waiting[organisation] += 1
+        self._waiting_by_priority[priority] += 1
 
-    def remove_waiting(self, organisation: str) -> None:
+    def remove_waiting(self, organisation: str, priority: int) -> None:
         """Count that a request no longer waits at this entry."""
         _decrement(self._waiting, organisation)
+        _decrement(self._waiting_by_priority, priority)
+
+    def urgent_ratio(self, priority: int) -> float:
+        """Fraction of the waiting requests that aren't less urgent than a class.
+
+        Those of other entries are known as far as they can be on time.
+        """
+        return _part_up_to(priority, self._waiting_by_priority + self.reports.on_time)
+
+    def reported_urgent_ratio(self, priority: int) -> float:
+        """The same, only of the requests that wait at other entries."""
+        return _part_up_to(priority, self.reports.on_time)
+
+
+def _part_up_to(priority: int, counts: Counter[int]) -> float:
+    total = counts.total()
+    if not total:
+        return 1.0
+    return sum(count for key, count in counts.items() if key <= priority) / total
 
 
 def _decrement(counts: Counter[str], key: str) -> None:
--- a/gentianhoist/admission/core.py
+++ b/gentianhoist/admission/core.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections import Counter
 from collections.abc import Iterator
@@ -25,11 +26,15 @@
 __all__ = ["AdmissionMode", "FleetAdmission", "FleetView", "GroupSlots", "applicant_of"]
 
 _UPDATE_INTERVAL_S = 0.02
+# An update takes some microseconds for each active organisation.
+_UPDATE_INTERVAL_PER_ORGANISATION_S = 0.0005
 # Engines come and go more slowly, and are counted one by one.
 _SLOTS_INTERVAL_S = 0.1
 # Part of the known entries that have to be heard from, so that the use is known.
 _MIN_HEARD_RATIO = 0.75
 _MAX_REPORTED_PRIORITIES = 16
+# Late requests are told apart by the tenth of their remaining time that has passed.
+_OVERDUE_KINDS = 10
 
 
 class AdmissionMode(StrEnum):
@@ -99,6 +104,8 @@
         self._slots: dict[str, _TrackedSlot] = {}
         self._queued: dict[QueuedRequest, None] = {}
         self._reported_groups: set[str] = set()
+        self._scanned_s = float("-inf")
+        self._held_kinds: set[tuple[str, str, int, int, bool]] = set()
         self._id_prefix = ""
         self._heard_entries = 0
         self._known_entries = 0
@@ -141,7 +148,8 @@
         """Return the admission to a server group, brought up to date."""
         group = self._group(name)
         updated_s = self._updated_s.get(name, float("-inf"))
-        if now_s - updated_s >= _UPDATE_INTERVAL_S:
+        interval_s = _UPDATE_INTERVAL_PER_ORGANISATION_S * len(group.shares)
+        if now_s - updated_s >= max(_UPDATE_INTERVAL_S, interval_s):
             self._updated_s[name] = now_s
             group.usage.set_own_on_time(
                 Counter(item.organisation for item in self._on_time(name, now_s))
@@ -171,20 +179,41 @@
     def add(self, request: QueuedRequest) -> None:
         """Count a request that waits from now on."""
         self._queued[request] = None
-        self._group(request.group).usage.add_waiting(request.organisation)
+        self._group(request.group).usage.add_waiting(
+            request.organisation, request.priority
+        )
 
     def remove(self, request: QueuedRequest) -> None:
         """Count that a request no longer waits."""
         if request in self._queued:
             del self._queued[request]
-            self._group(request.group).usage.remove_waiting(request.organisation)
+            self._group(request.group).usage.remove_waiting(
+                request.organisation, request.priority
+            )
 
     def holds(self, request: QueuedRequest, now_s: float) -> bool:
         """Whether a waiting request leaves the free slots to others."""
         if not self.is_active or request.may_have_run:
             return False
+        if now_s != self._scanned_s:
+            self._scanned_s = now_s
+            self._held_kinds.clear()
+        # A scan places requests and frees no slot, so once one of a kind is held, so
+        # are the others. This keeps a scan of a long queue cheap.
+        kind = (
+            request.group,
+            request.organisation,
+            request.priority,
+            math.floor(_OVERDUE_KINDS * request.overdue_ratio(now_s)),
+            request.is_late(now_s),
+        )
+        if kind in self._held_kinds:
+            return True
         group = self.group(request.group, now_s)
-        return group.is_held(applicant_of(request, now_s), now_s)
+        is_held = group.is_held(applicant_of(request, now_s), now_s)
+        if is_held:
+            self._held_kinds.add(kind)
+        return is_held
 
     def over_share(self, now_s: float) -> frozenset[str] | None:
         """Organisations over their share in a server group; None if it isn't known."""
@@ -201,7 +230,8 @@
             return None
         group = self.group(request.group, now_s)
         entries = max(1, self._heard_entries)
-        return group.retry_after_s(request.organisation, entries, now_s)
+        applicant = applicant_of(request, now_s)
+        return group.retry_after_s(applicant, entries, now_s)
 
     # Of the ledger: see `placement.CommitmentListener`.
 
--- a/gentianhoist/placement/__init__.py
+++ b/gentianhoist/placement/__init__.py
@@ -20,13 +20,12 @@
     Placement,
     PlacementPolicy,
 )
-from gentianhoist.placement._queue import (
+from gentianhoist.placement._queue import PlacementQueue, QueueOrder
+from gentianhoist.placement._queued_request import (
     STOP_REFUSAL,
-    PlacementQueue,
     PlacementRefused,
     QueuedRequest,
     QueueGate,
-    QueueOrder,
     RefusalCause,
     UnplacedReason,
 )
--- a/tests/admission/fleet.py
+++ b/tests/admission/fleet.py
@@ -70,6 +70,7 @@
         priority: Priority class of the requests.
         retries: Whether it retries at once what is refused, or only when told to.
         start_s: Time of the first request.
+        name: Name of its results, by default the organisation.
     """
 
     organisation: str
@@ -77,6 +78,11 @@
     priority: int = 1
     retries: str = "never"
     start_s: float = 0.0
+    name: str = ""
+
+    @property
+    def label(self) -> str:
+        return self.name or self.organisation
 
 
 @dataclass
@@ -236,7 +242,7 @@
     async def run(self, callers: list[Caller], until_s: float) -> dict[str, Results]:
         """Let callers send until a time; return the results by organisation."""
         for caller in callers:
-            self.results.setdefault(caller.organisation, Results())
+            self.results.setdefault(caller.label, Results())
         next_s = {id(caller): caller.start_s for caller in callers}
         while self.now_s < until_s:
             self.now_s += STEP_S
@@ -283,7 +289,7 @@
         start_s = max(self.now_s, heapq.heappop(slots))
         end_s = start_s + SERVICE_S * self.rng.uniform(0.5, 1.5)
         heapq.heappush(slots, end_s)
-        results = self.results[caller.organisation]
+        results = self.results[caller.label]
         results.ttft_s.append(start_s + PREFILL_S - received_s)
         results.ended_s.append(end_s)
 
@@ -294,7 +300,7 @@
         self._at(end_s, end)
 
     def refused(self, caller: Caller, retry_after_s: float, entry: FakeEntry) -> None:
-        results = self.results[caller.organisation]
+        results = self.results[caller.label]
         results.refused += 1
         results.retry_after_s.append(retry_after_s)
         delay_s = {"never": None, "at_once": STEP_S, "as_told": retry_after_s}
--- a/tests/admission/test_core.py
+++ b/tests/admission/test_core.py
@@ -151,3 +151,13 @@
         ]
         results = await _fleet().run(callers, _UNTIL_S)
         assert results["urgent"].on_time_ratio >= 0.95
+
+    async def test_urgent_requests_of_the_flood_itself(self):
+        """Less urgent requests of the same organisation must not hold them back."""
+        callers = [
+            Caller("flood", 3 * _CAPACITY_PER_S),
+            Caller("other", _USUAL_PER_S),
+            Caller("flood", _USUAL_PER_S, priority=0, name="urgent"),
+        ]
+        results = await _fleet().run(callers, _UNTIL_S)
+        assert results["urgent"].on_time_ratio >= 0.9
--- a/tests/admission/test_exchange.py
+++ b/tests/admission/test_exchange.py
@@ -3,10 +3,20 @@
 import asyncio
 import random
 
-from gentianhoist.admission import AdmissionMode, DemandExchange, FleetAdmission
+from gentianhoist.admission import (
+    AdmissionMode,
+    DemandExchange,
+    FleetAdmission,
+    OrganisationDemand,
+)
 from gentianhoist.clocks import ManualClock
-from gentianhoist.peers import Sender
-from gentianhoist.placement import Demand, QueuedRequest, UnplacedReason
+from gentianhoist.peers import PeerLink, Sender
+from gentianhoist.placement import (
+    CommitmentLedger,
+    Demand,
+    QueuedRequest,
+    UnplacedReason,
+)
 from tests.admission.fleet import FakeFleet
 
 _SENDER = Sender("10.0.0.2", "b-1")
@@ -103,3 +113,60 @@
         assert not entry.sent
         entry.admission.set_heard_entries(3, 4)
         assert entry.admission.mode is AdmissionMode.FLEET
+
+
+class _Transport:
+    """Replaces the socket of a link: delivers each datagram to another link."""
+
+    def __init__(self) -> None:
+        self.receiver: PeerLink | None = None
+
+    def sendto(self, data: bytes, address: tuple[str, int]) -> None:
+        if self.receiver is not None:
+            self.receiver.datagram_received(data, ("10.0.0.1", 7340))
+
+    def close(self) -> None:
+        return None
+
+
+def _connected(host: str, clock: ManualClock) -> tuple[PeerLink, _Entry, _Transport]:
+    entry, transport = _Entry(clock), _Transport()
+    link = PeerLink(host, host, 7340, CommitmentLedger(), clock, lambda: None)
+    entry.exchange = DemandExchange(entry.admission, link.broadcast, clock.monotonic_s)
+    link.register(entry.exchange.kind)
+    link.add_loss_listener(entry.exchange.forget)
+    link.connection_made(transport)  # type: ignore[arg-type]
+    return link, entry, transport
+
+
+class TestOverPeerLinks:
+    async def test_reports_arrive_and_end_with_their_entry(self):
+        """What waited at a killed entry must not hold the slots of others back."""
+        clock = ManualClock()
+        link, entry, transport = _connected("10.0.0.1", clock)
+        other_link, other, _ = _connected("10.0.0.2", clock)
+        transport.receiver = other_link
+        link.set_peers(["10.0.0.1", "10.0.0.2"])
+        entry.queue("a")
+        entry.exchange.publish()
+        await asyncio.sleep(0.01)
+        usage = other.admission.group("g", clock.monotonic_s()).usage
+        assert usage.all_waiting == {"a": 1}
+        clock.advance(0.9)
+        other.admission.group("g", clock.monotonic_s())
+        assert usage.all_waiting == {"a": 1}
+        clock.advance(0.2)
+        other.admission.group("g", clock.monotonic_s())
+        assert not usage.all_waiting
+
+    async def test_impossible_report_is_dropped(self):
+        clock = ManualClock()
+        link, _, transport = _connected("10.0.0.1", clock)
+        other_link, other, _ = _connected("10.0.0.2", clock)
+        transport.receiver = other_link
+        link.set_peers(["10.0.0.1", "10.0.0.2"])
+        link.broadcast(OrganisationDemand([("a", -5)], 0, "g"))
+        link.broadcast(OrganisationDemand([("b", 5)], 0, "g"))
+        await asyncio.sleep(0.01)
+        usage = other.admission.group("g", clock.monotonic_s()).usage
+        assert usage.all_waiting == {"b": 5}
--- a/tests/admission/test_group.py
+++ b/tests/admission/test_group.py
@@ -143,3 +143,13 @@
         """Placements that just filled the slots must not count as a lasting load."""
         group = _group({"a": 2, "b": 2}, slots=4)
         assert isinstance(self._decide(group, "a", 1.0), WaitForSlot)
+
+    def test_urgent_request_isnt_refused_for_less_urgent_ones(self):
+        """An organisation may flood one class and send urgent requests in another."""
+        group = _group({"flood": 15, "small": 5})
+        _wait_elsewhere(group, {"flood": 400}, [(1, 400)])
+        urgent = Applicant("flood", 0, 0.2, 1.0)
+        assessment = group.assess(urgent, _NOW_S)
+        decision = group.decide(urgent, assessment, 4, _NOW_S)
+        assert isinstance(decision, WaitForSlot)
+        assert decision.expected_s < 0.1
