--- a/gentianhoist/admission/_group.py
+++ b/gentianhoist/admission/_group.py
@@ -219,6 +219,17 @@
             now_s,
         )
 
+    def expects_turn(self, applicant: Applicant, now_s: float) -> bool:
+        """Whether a request within its share gets a slot before its deadline.
+
+        Over the share, it depends on what other requests leave.
+        """
+        name = applicant.organisation
+        if self._is_over_share(name):
+            return False
+        drain_per_s = self._fair_drain_per_s(name, Standing.WITHIN_SHARE, now_s)
+        return self._requests_ahead(applicant) <= drain_per_s * applicant.slack_s
+
     def assess(self, applicant: Applicant, now_s: float) -> Assessment:
         """Return what the decision on a request is based on."""
         standing = self._standing(applicant)
--- a/gentianhoist/admission/core.py
+++ b/gentianhoist/admission/core.py
@@ -215,6 +215,13 @@
             self._held_kinds.add(kind)
         return is_held
 
+    def keeps(self, request: QueuedRequest, now_s: float) -> bool:
+        """Whether a late request is expected to get its turn by its share."""
+        if not self.is_active:
+            return False
+        group = self.group(request.group, now_s)
+        return group.expects_turn(applicant_of(request, now_s), now_s)
+
     def over_share(self, now_s: float) -> frozenset[str] | None:
         """Organisations over their share in a server group; None if it isn't known."""
         if not self.is_active:
--- a/gentianhoist/placement/_queue.py
+++ b/gentianhoist/placement/_queue.py
@@ -193,6 +193,7 @@
             if request.is_late(now_s)
             and request.lacks_capacity
             and request.rate_limited_since_s is None
+            and not self._is_kept(request, now_s)
         ]
         self._late_drain.observe(len(late), now_s)
         late.sort(key=lambda request: request.latest_start_s)
@@ -215,6 +216,10 @@
             return False
         return self._gate.holds(request, now_s)
 
+    def _is_kept(self, request: QueuedRequest, now_s: float) -> bool:
+        # Its turn doesn't depend on the late requests of this entry.
+        return self._gate is not None and self._gate.keeps(request, now_s)
+
     def _refuse(
         self, request: QueuedRequest, refused: PlacementRefused, now_s: float
     ) -> None:
--- a/gentianhoist/placement/_queued_request.py
+++ b/gentianhoist/placement/_queued_request.py
@@ -184,6 +184,10 @@
         """Whether a request must not be placed now."""
         ...
 
+    def keeps(self, request: QueuedRequest, now_s: float) -> bool:
+        """Whether a late request is expected to get its turn by its share."""
+        ...
+
     def over_share(self, now_s: float) -> frozenset[str] | None:
         """Organisations over their share, or None to go by this entry's placements."""
         ...
--- a/tests/admission/test_group.py
+++ b/tests/admission/test_group.py
@@ -153,3 +153,14 @@
         decision = group.decide(urgent, assessment, 4, _NOW_S)
         assert isinstance(decision, WaitForSlot)
         assert decision.expected_s < 0.1
+
+    def test_late_request_within_its_share_is_kept(self):
+        """It was refused for the late requests of a flood that wait before it."""
+        group = _group({"flood": 15, "small": 5})
+        _wait_elsewhere(group, {"flood": 400, "small": 2}, [(1, 10)])
+        late = {"priority": 1, "on_time_s": -0.1, "overdue_ratio": 0.1}
+        flood = Applicant("flood", slack_s=2.0, **late)
+        assert not group.expects_turn(flood, _NOW_S)
+        small = Applicant("small", slack_s=2.0, **late)
+        assert group.expects_turn(small, _NOW_S)
+        assert not group.expects_turn(small._replace(slack_s=0.01), _NOW_S)
