--- a/gentianhoist/admission/__init__.py
+++ b/gentianhoist/admission/__init__.py
@@ -1,15 +1,15 @@
 """Admission control by organisation over the slots of the whole fleet."""
 
-from gentianhoist.admission._exchange import DemandExchange
-from gentianhoist.admission._group import (
+from gentianhoist.admission._decisions import (
     AdmissionDecision,
     Applicant,
     Assessment,
-    GroupAdmission,
     RefuseNow,
     ServeNow,
     WaitForSlot,
 )
+from gentianhoist.admission._exchange import DemandExchange
+from gentianhoist.admission._group import GroupAdmission
 from gentianhoist.admission._messages import OrganisationDemand, check_demand
 from gentianhoist.admission._reports import REPORT_VALIDITY_S, DemandReports
 from gentianhoist.admission._shares import max_min_shares
--- a/gentianhoist/admission/_exchange.py
+++ b/gentianhoist/admission/_exchange.py
@@ -67,5 +67,4 @@
     def _snapshot(self, host: str) -> Sequence[OrganisationDemand]:
         if not self._admission.is_active:
             return ()
-        reports = self._admission.reports(self._now_s())
-        return [report for report in reports if report.waiting]
+        return self._admission.waiting_reports(self._now_s())
--- a/gentianhoist/admission/_group.py
+++ b/gentianhoist/admission/_group.py
@@ -4,9 +4,15 @@
 
 import random
 from collections import Counter
-from dataclasses import dataclass
-from typing import NamedTuple
 
+from gentianhoist.admission._decisions import (
+    AdmissionDecision,
+    Applicant,
+    Assessment,
+    RefuseNow,
+    ServeNow,
+    WaitForSlot,
+)
 from gentianhoist.admission._drain import DrainRate
 from gentianhoist.admission._retries import RetrySchedule
 from gentianhoist.admission._shares import max_min_shares
@@ -21,15 +27,7 @@
 from gentianhoist.admission._usage import OrganisationUsage
 from gentianhoist.placement import Commitment
 
-__all__ = [
-    "AdmissionDecision",
-    "Applicant",
-    "Assessment",
-    "GroupAdmission",
-    "RefuseNow",
-    "ServeNow",
-    "WaitForSlot",
-]
+__all__ = ["GroupAdmission"]
 
 # Fraction of the time from which a late request within its share is no longer placed
 # after those that are on time, so that it doesn't starve behind a flood.
@@ -38,84 +36,6 @@
 _MIN_LATE_RATIO = 0.02
 
 
-class Applicant(NamedTuple):
-    """A request that needs a slot.
-
-    Attributes:
-        organisation: Organisation of the caller; empty if unknown.
-        priority: Priority class; 0 is the highest.
-        on_time_s: Seconds that it can wait and still be on time; negative if late.
-        slack_s: Seconds that it can wait and still be served before its deadline.
-        overdue_ratio: If it is late, the elapsed fraction of the time from which it is
-            until it can't be served any more.
-    """
-
-    organisation: str
-    priority: int
-    on_time_s: float = float("inf")
-    slack_s: float = float("inf")
-    overdue_ratio: float = 0.0
-
-
-class Assessment(NamedTuple):
-    """What a decision is based on.
-
-    Attributes:
-        standing: Standing of the request.
-        share: Share of its organisation, in slots.
-        in_use: Slots that its organisation has in use.
-        slots: Slots of the server group.
-        free: Free slots.
-        room: Free slots that it leaves to others.
-        report_age_s: Age of the oldest report of another entry, in seconds.
-    """
-
-    standing: Standing
-    share: float
-    in_use: int
-    slots: int
-    free: int
-    room: int
-    report_age_s: float
-
-    @property
-    def occupied_ratio(self) -> float:
-        """Fraction of the slots that is in use."""
-        return 1.0 - self.free / self.slots if self.slots else 1.0
-
-
-@dataclass(frozen=True)
-class ServeNow:
-    """The request may be placed now."""
-
-
-@dataclass(frozen=True)
-class WaitForSlot:
-    """The request waits, and is expected to be placed before its deadline.
-
-    Attributes:
-        expected_s: Expected seconds until it is placed.
-    """
-
-    expected_s: float
-
-
-@dataclass(frozen=True)
-class RefuseNow:
-    """The request can't be placed before its deadline.
-
-    Attributes:
-        expected_s: Expected seconds until it would be placed.
-        retry_after_s: Seconds after which the caller should retry.
-    """
-
-    expected_s: float
-    retry_after_s: float
-
-
-AdmissionDecision = ServeNow | WaitForSlot | RefuseNow
-
-
 class GroupAdmission:
     """Admission to one server group, from its use by all entries.
 
@@ -158,6 +78,10 @@
         """Organisations whose next request would exceed their share."""
         return frozenset(name for name in self._shares if self._is_over_share(name))
 
+    @property
+    def _drain_per_s(self) -> float:
+        return self._drain.per_s(self.usage.total_in_use, self.usage.service_s)
+
     def update(self, slots: int, now_s: float) -> None:
         """Recompute the shares, at intervals of some milliseconds.
 
@@ -298,10 +222,6 @@
             schedule = self._retries[organisation] = RetrySchedule(self._rng)
         return schedule.next_after_s(wait_s, interval_s, now_s)
 
-    @property
-    def _drain_per_s(self) -> float:
-        return self._drain.per_s(self.usage.total_in_use, self.usage.service_s)
-
     def _late_drain_per_s(self, now_s: float) -> float:
         """Slots per second that requests on time leave to late ones.
 
--- a/gentianhoist/admission/core.py
+++ b/gentianhoist/admission/core.py
@@ -14,12 +14,12 @@
 from enum import StrEnum
 from typing import NamedTuple, Protocol
 
-from gentianhoist.admission._group import (
+from gentianhoist.admission._decisions import (
     AdmissionDecision,
     Applicant,
     Assessment,
-    GroupAdmission,
 )
+from gentianhoist.admission._group import GroupAdmission
 from gentianhoist.admission._messages import MAX_REPORTED, OrganisationDemand
 from gentianhoist.placement import Commitment, QueuedRequest
 
@@ -277,8 +277,14 @@
         Without the last report, others would leave slots to requests that are gone.
         """
         waiting_groups = {request.group for request in self._queued}
-        groups = sorted(waiting_groups | self._reported_groups)
+        ended_groups = sorted(self._reported_groups - waiting_groups)
         self._reported_groups = waiting_groups
+        ended = [self._report(name, now_s) for name in ended_groups]
+        return self.waiting_reports(now_s) + ended
+
+    def waiting_reports(self, now_s: float) -> list[OrganisationDemand]:
+        """Report what waits here, for an entry that has just started."""
+        groups = sorted({request.group for request in self._queued})
         return [self._report(name, now_s) for name in groups]
 
     def _report(self, name: str, now_s: float) -> OrganisationDemand:
--- a/gentianhoist/dispatch/_admission.py
+++ b/gentianhoist/dispatch/_admission.py
@@ -74,7 +74,8 @@
         if mode is AdmissionMode.FLEET:
             for name in list(self._admission.groups):
                 group = self._admission.group(name, now_s)
-                self._metrics.set_occupied(name, group.occupied_ratio)
+                if group.slots:
+                    self._metrics.set_occupied(name, group.occupied_ratio)
         self._metrics.set_fleet_admission(mode is AdmissionMode.FLEET)
         self.publish()
 
--- a/tests/admission/test_exchange.py
+++ b/tests/admission/test_exchange.py
@@ -68,6 +68,20 @@
             entry.exchange.publish()
         assert [message.waiting for message in entry.sent] == [[("a", 1)], []]
 
+    async def test_entry_that_starts_hears_what_waits(self):
+        """Its first report must not replace the last one to the other entries."""
+        clock = ManualClock()
+        entry = _Entry(clock)
+        request = entry.queue("a")
+        entry.exchange.publish()
+        (report,) = entry.exchange.kind.snapshot("10.0.0.9")
+        assert report.waiting == [("a", 1)]
+        entry.admission.remove(request)
+        assert not entry.exchange.kind.snapshot("10.0.0.9")
+        clock.advance(0.3)
+        entry.exchange.publish()
+        assert [message.waiting for message in entry.sent] == [[("a", 1)], []]
+
     async def test_other_entry_counts_what_is_reported(self):
         clock = ManualClock()
         sender, receiver = _Entry(clock), _Entry(clock)
