--- a/gentianhoist/gateway/core.py
+++ b/gentianhoist/gateway/core.py
@@ -144,6 +144,7 @@
             self._dispatch.queue_scheduler.request_scan,
         )
         self._peers.register(*self._dispatch.slow_starts.kinds)
+        self._dispatch.admission.connect(self._peers)
         self._dispatcher = Dispatcher(self._dispatch)
         self._memory = MemoryReporter(settings.memory_limit_bytes, log, self._metrics)
         self._caller_server = HttpServer(
@@ -417,6 +418,7 @@
             self._update_rate_limits()
             self._update_slow_starts()
             self._memory.update(self._caller_server)
+            self._dispatch.admission.tick(now_s)
             self._metrics.set_gauges(
                 self._state.routing.version,
                 len(self._state.directory.servers),
--- a/gentianhoist/placement/__init__.py
+++ b/gentianhoist/placement/__init__.py
@@ -9,6 +9,7 @@
     AffectedRequest,
     Commitment,
     CommitmentLedger,
+    CommitmentListener,
     CommittedLoad,
     EndedCommitment,
 )
@@ -19,12 +20,12 @@
     Placement,
     PlacementPolicy,
 )
-from gentianhoist.placement._queue import (
+from gentianhoist.placement._queue import PlacementQueue, QueueOrder
+from gentianhoist.placement._queued_request import (
     STOP_REFUSAL,
-    PlacementQueue,
     PlacementRefused,
     QueuedRequest,
-    QueueOrder,
+    QueueGate,
     RefusalCause,
     UnplacedReason,
 )
@@ -56,6 +57,7 @@
     "UNAVAILABLE",
     "Commitment",
     "CommitmentLedger",
+    "CommitmentListener",
     "AffectedRequest",
     "Demand",
     "CommittedLoad",
@@ -71,6 +73,7 @@
     "PlacementQueue",
     "PlacementRule",
     "PlacementRuleName",
+    "QueueGate",
     "QueueOrder",
     "PlacementRefused",
     "RefusalCause",
--- a/gentianhoist/placement/_queue.py
+++ b/gentianhoist/placement/_queue.py
@@ -2,37 +2,30 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections import deque
-from collections.abc import Callable
-from dataclasses import dataclass
-from enum import Enum, StrEnum
+from dataclasses import replace
+from enum import StrEnum
 
 from gentianhoist.capacity import FairShares
 from gentianhoist.placement._late_drain import LateDrain
-from gentianhoist.placement._model import Demand, Placement
-
-__all__ = [
-    "PlacementQueue",
-    "QueueOrder",
-    "PlacementRefused",
-    "RefusalCause",
-    "UnplacedReason",
-    "QueuedRequest",
-    "STOP_REFUSAL",
-]
+from gentianhoist.placement._model import Placement
+from gentianhoist.placement._queued_request import (
+    STOP_REFUSAL,
+    PlacementRefused,
+    QueuedRequest,
+    QueueGate,
+    RefusalCause,
+    UnplacedReason,
+)
+
+__all__ = ["PlacementQueue", "QueueOrder"]
 
 _MAX_QUEUED = 512
-# Factor on the slack of an organisation over its fair share, which delays it.
-_OVER_SHARE_SLACK_RATIO = 2.0
 _EQUAL_WEIGHT = 1.0
 _RETRY_AFTER_S = 0.5
 _MAX_RETRY_AFTER_S = 3.0
-_STOP_RETRY_AFTER_S = 0.2
 # A scan of a long queue would hold up all other work of the entry.
 _MAX_TRIES_PER_SCAN = 8
-# Before the highest priority of a request, 0.
-_RATE_LIMITED_PRIORITY = -1
 
 
 class QueueOrder(StrEnum):
@@ -43,144 +36,21 @@
     FIRST_COME = "first_come"
 
 
-class UnplacedReason(Enum):
-    """Reason why a request can't be placed now."""
-
-    NO_CAPACITY = "no engine has a free slot and enough KV cache"
-    WORTH_WAITING = "better engines are expected"
-    RATE_LIMITED = "all engines have reached the rate limits that they name"
-
-
-class RefusalCause(Enum):
-    """What a request lacks that is refused."""
-
-    CAPACITY = "engines"
-    RATE_LIMITED = "rate limits of the engines"
-    STOPPING = "time until the entry stops"
-
-
-@dataclass(frozen=True)
-class PlacementRefused:
-    """Refusal of a request that can't be placed in time; it has not run.
-
-    Attributes:
-        reason: Reason, for the log and the caller.
-        retry_after_s: Expected seconds until capacity is available again.
-        cause: What the request lacks.
-    """
-
-    reason: str
-    retry_after_s: float
-    cause: RefusalCause = RefusalCause.CAPACITY
-
-
-# Refusal of a request that other entries can still serve.
-STOP_REFUSAL = PlacementRefused(
-    "the response would not end before the entry stops",
-    _STOP_RETRY_AFTER_S,
-    RefusalCause.STOPPING,
-)
-
-
-@dataclass(eq=False)
-class QueuedRequest:
-    """A request that waits for placement.
-
-    Attributes:
-        demand: Resources and latency goals of the request.
-        latest_start_s: Time from which it can't be served in time any more, on the
-            entry's clock.
-        priority: Priority class; 0 is the highest.
-        try_place: Tries to place the request on the present loads; refuses it if it may
-            no longer be sent.
-        result: Receives the placement or the refusal.
-        organisation: Organisation of the caller; empty if unknown.
-        group: Name of the server group that it is for.
-        retry_interval_s: Minimum seconds between two tries.
-        next_try_s: Earliest time of the next try, on the entry's clock.
-        rate_limited_since_s: Since when it waits for the rate limits of the engines, on
-            the entry's clock; None if it doesn't.
-        on_time_until_s: Latest time of a placement with which its first event is still
-            on time, on the entry's clock.
-        lacks_capacity: Whether no engine had room for it at the last scan; it may also
-            wait by choice.
-        service_s: Expected seconds from its placement to the end of its response.
-        is_entry_stopping: Whether `latest_start_s` is that early since the entry stops.
-    """
-
-    demand: Demand
-    latest_start_s: float
-    priority: int
-    try_place: Callable[[], Placement | UnplacedReason | PlacementRefused]
-    result: asyncio.Future[Placement | PlacementRefused]
-    organisation: str = ""
-    group: str = ""
-    retry_interval_s: float = 0.01
-    next_try_s: float = float("-inf")
-    rate_limited_since_s: float | None = None
-    on_time_until_s: float = float("inf")
-    lacks_capacity: bool = False
-    service_s: float = 0.0
-    is_entry_stopping: bool = False
-
-    def end_by(self, end_s: float) -> None:
-        """Let it start only if its response ends before the entry does.
-
-        Args:
-            end_s: When the entry ends, on the entry's clock.
-        """
-        if end_s - self.service_s < self.latest_start_s:
-            self.latest_start_s = end_s - self.service_s
-            self.is_entry_stopping = True
-
-    def is_late(self, now_s: float) -> bool:
-        """Whether its first event will be late in any case."""
-        return now_s > self.on_time_until_s
-
-    def order(
-        self, now_s: float, over_share: frozenset[str] = frozenset()
-    ) -> tuple[int, bool, float]:
-        """Return the sort key: priority, whether it is late, slack and size per value.
-
-        Requests that can still be on time come before those that are late already.
-        Otherwise more work than the engines take for a while makes all of it late.
-
-        Requests that wait for rate limits come before all others, in the order in which
-        they began to wait, so that no kind of request is preferred.
-
-        Args:
-            now_s: Current time on the entry's clock, in seconds.
-            over_share: Organisations that have used more than their fair share. Their
-                slack is scaled up, which delays them by a bounded amount, so none
-                starves.
-
-        Returns:
-            The key; lower keys are placed first.
-        """
-        if self.rate_limited_since_s is not None:
-            return (_RATE_LIMITED_PRIORITY, False, self.rate_limited_since_s)
-        is_late = self.is_late(now_s)
-        end_s = self.latest_start_s
-        if not is_late:
-            end_s = min(end_s, self.on_time_until_s)
-        # The floor keeps size and value effective when no slack is left.
-        slack_s = max(0.05, end_s - now_s)
-        if self.organisation in over_share:
-            slack_s *= _OVER_SHARE_SLACK_RATIO
-        # The factor grows by 1 with each 20,000 tokens of KV cache.
-        size_factor = 1.0 + self.demand.kv_tokens / 20_000
-        return (self.priority, is_late, slack_s * size_factor / self.demand.value)
-
-
 class PlacementQueue:
     """Requests that wait for placement, tried again when engine loads change.
 
     Args:
         order: Order in which requests are placed.
+        gate: Holds requests back, if any; only with `QueueOrder.BY_VALUE`.
     """
 
-    def __init__(self, order: QueueOrder = QueueOrder.BY_VALUE) -> None:
+    def __init__(
+        self,
+        order: QueueOrder = QueueOrder.BY_VALUE,
+        gate: QueueGate | None = None,
+    ) -> None:
         self._order = order
+        self._gate = gate
         self._queued: list[QueuedRequest] = []
         self._shares = FairShares()
         self._late_drain = LateDrain()
@@ -217,7 +87,7 @@
             return True
         if self._order is not QueueOrder.BY_VALUE:
             return False
-        return organisation not in self._shares.organisations_over_share(now_s)
+        return organisation not in self._over_share(now_s)
 
     def charge(self, organisation: str, tokens: int, now_s: float) -> None:
         """Charge placed work to its organisation, whether it was queued or not.
@@ -234,6 +104,8 @@
         """Add a request to the queue."""
         request.end_by(self._end_s)
         self._queued.append(request)
+        if self._gate is not None:
+            self._gate.add(request)
 
     def end_by(self, end_s: float) -> None:
         """Place no request any more whose response would end later.
@@ -249,6 +121,8 @@
         """Remove a request that was placed, refused or cancelled."""
         if request in self._queued:
             self._queued.remove(request)
+            if self._gate is not None:
+                self._gate.remove(request)
 
     def place_waiting(self, now_s: float) -> None:
         """Refuse the requests that are too late and place those that fit now."""
@@ -256,7 +130,7 @@
             return
         for request in list(self._queued):
             if now_s >= request.latest_start_s:
-                self._settle(request, _late_refusal(request))
+                self._refuse(request, _late_refusal(request), now_s)
         self._refuse_hopeless(now_s)
         match self._order:
             case QueueOrder.FIRST_COME:
@@ -274,7 +148,7 @@
     def _place_by_value(self, now_s: float) -> None:
         smallest_unplaced_tokens: float = float("inf")
         rate_limited_groups: set[str] = set()
-        over_share = self._shares.organisations_over_share(now_s)
+        over_share = self._over_share(now_s)
         sorted_requests = sorted(
             self._queued, key=lambda request: request.order(now_s, over_share)
         )
@@ -290,6 +164,9 @@
                 continue
             if request.group in rate_limited_groups or now_s < request.next_try_s:
                 continue
+            if self._is_held(request, now_s):
+                request.lacks_capacity = True
+                continue
             tries += 1
             match request.try_place():
                 case UnplacedReason.RATE_LIMITED:
@@ -316,6 +193,7 @@
             if request.is_late(now_s)
             and request.lacks_capacity
             and request.rate_limited_since_s is None
+            and not self._is_kept(request, now_s)
         ]
         self._late_drain.observe(len(late), now_s)
         late.sort(key=lambda request: request.latest_start_s)
@@ -323,10 +201,34 @@
         for request in late:
             wait_s = self._late_drain.expected_wait_s(ahead, now_s)
             if now_s + wait_s > request.latest_start_s:
-                self._settle(request, _hopeless_refusal(request, wait_s))
+                self._refuse(request, _hopeless_refusal(request, wait_s), now_s)
             else:
                 ahead += 1
 
+    def _over_share(self, now_s: float) -> frozenset[str]:
+        """Organisations over their share, in the fleet or else at this entry."""
+        names = None if self._gate is None else self._gate.over_share(now_s)
+        return self._shares.organisations_over_share(now_s) if names is None else names
+
+    def _is_held(self, request: QueuedRequest, now_s: float) -> bool:
+        # A token that a request leaves would go to the next one.
+        if self._gate is None or request.rate_limited_since_s is not None:
+            return False
+        return self._gate.holds(request, now_s)
+
+    def _is_kept(self, request: QueuedRequest, now_s: float) -> bool:
+        # Its turn doesn't depend on the late requests of this entry.
+        return self._gate is not None and self._gate.keeps(request, now_s)
+
+    def _refuse(
+        self, request: QueuedRequest, refused: PlacementRefused, now_s: float
+    ) -> None:
+        if self._gate is not None and refused.cause is RefusalCause.CAPACITY:
+            retry_after_s = self._gate.retry_after_s(request, now_s)
+            if retry_after_s is not None:
+                refused = replace(refused, retry_after_s=retry_after_s, is_spread=True)
+        self._settle(request, refused)
+
     def _settle(
         self, request: QueuedRequest, result: Placement | PlacementRefused
     ) -> None:
